--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -93,14 +93,10 @@
 }
 
 LoadReport parse_report(const Json& fields) {
-  LoadReport report;
   const auto it = fields.find("pressure");
-  if (it == fields.end() || it->is_null()) return report;
+  if (it == fields.end() || it->is_null()) return {};
   if (!it->is_object()) throw WireError("field 'pressure': object expected");
-  report.in_hand = opt_number(*it, "rif");
-  report.memory_share = opt_number(*it, "x0");
-  report.prompt_kilotokens = opt_number(*it, "x1");
-  return report;
+  return parse_load(*it);
 }
 
 // JSON array element i as a number, 0 where the array is shorter.
@@ -112,6 +108,14 @@
 
 }  // namespace
 
+LoadReport parse_load(const Json& fields) {
+  LoadReport report;
+  report.in_hand = opt_number(fields, "rif");
+  report.memory_share = opt_number(fields, "x0");
+  report.prompt_kilotokens = opt_number(fields, "x1");
+  return report;
+}
+
 Settings parse_settings(const Json& env) {
   Settings s;
   const Json& info = need_object(env, "familyInfo");
@@ -159,6 +163,8 @@
   s.early_pairing = opt<bool>(info, "earlyPairing");
   s.resume = opt<bool>(info, "resume");
   s.pin_limit = need_ms(info, "pinLimitMs");
+  s.connect_timeout = opt_ms(limits, "connectTimeoutMs");
+  s.idle_close = opt_ms(limits, "idleCloseMs");
   s.may_cancel = opt<bool>(limits, "mayCancel");
   s.retry_advice = opt<bool>(limits, "retryAfter");
   s.max_retry_in = opt_ms(limits, "maxRetryAfterMs");
--- a/adapter/wire.hpp
+++ b/adapter/wire.hpp
@@ -22,6 +22,7 @@
 };
 
 Settings parse_settings(const Json& env);                     // throws WireError
+LoadReport parse_load(const Json& fields);                    // throws WireError
 HostList parse_list(const Json& topology, const Json& page);  // throws WireError
 std::optional<Event> parse_event(const std::string& name,
                                  const Json& fields);  // empty: a name not known here
--- /dev/null
+++ b/src/app/config.hpp
@@ -0,0 +1,41 @@
+// What the program is told at its start: the platform's configuration and its environment.
+#ifndef BITTERNFERRY_APP_CONFIG_HPP_
+#define BITTERNFERRY_APP_CONFIG_HPP_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <stdexcept>
+#include <string>
+
+#include "basaltvane/router.hpp"
+#include "discovery/servers.hpp"
+#include "net/connection.hpp"
+
+namespace bitternferry::app {
+
+// what() is one line that names the field.
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  net::tcp::endpoint listen, discovery;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024, memory_mb = 192;
+  basaltvane::Settings settings;
+  discovery::Servers known;
+};
+
+using Environment = std::map<std::string, std::string>;
+Environment read_environment();
+
+// PROXY_CONFIG names the JSON file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before what it says.
+Config parse_config(const std::string& text, const Environment& environment);  // throws ConfigError
+Config load_config(const Environment& environment);                            // throws ConfigError
+std::string read_file(const std::string& path);                                // throws ConfigError
+
+}  // namespace bitternferry::app
+
+#endif  // BITTERNFERRY_APP_CONFIG_HPP_
--- /dev/null
+++ b/src/app/dispatcher.cpp
@@ -0,0 +1,94 @@
+#include "app/dispatcher.hpp"
+
+#include <csignal>
+#include <string>
+
+namespace bitternferry::app {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+// New connections come for up to 0.4 s after SIGTERM; what comes more than 0.7 s after it may be lost.
+constexpr core::Duration kKeepAccepting = milliseconds(550);
+constexpr core::Duration kDrainLook = milliseconds(20);
+// One try of a lease call: several must fit into the pin limit.
+constexpr int kLeaseTries = 3;
+
+replica::Options pool_options(const Config& config) {
+  replica::Options options;
+  options.connect_timeout = config.settings.connect_timeout;
+  options.idle_close = config.settings.idle_close;
+  options.lease_patience =
+      std::max<core::Duration>(milliseconds(20), config.settings.pin_limit / kLeaseTries);
+  // Sixty-four descriptors stay for all that is neither a client nor a replica.
+  const std::size_t usable = config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
+  options.most_open = std::min<std::size_t>(options.most_open, usable * 2 / 5);
+  options.most_idle_all = std::min(options.most_idle_all, options.most_open / 2);
+  return options;
+}
+
+http::ServerOptions server_options(const Config& config) {
+  http::ServerOptions options;
+  const std::size_t usable = config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
+  options.most_clients = std::min<std::size_t>(options.most_clients, usable * 3 / 5);
+  return options;
+}
+
+}  // namespace
+
+Dispatcher::Dispatcher(Loop& loop, const Config& config, core::Log log)
+    : loop_(loop),
+      config_(config),
+      log_(log),
+      pool_(loop.io(), loop.deadlines(), loop.clock(), log, pool_options(config)),
+      engine_(config.settings, config.seed, pool_, loop.deadlines(), loop.clock(), log),
+      front_(loop.io(), config.listen, engine_, config_.settings, loop.deadlines(), loop.clock(),
+             server_options(config), [this] { return pool_.shed(); }),
+      watch_(loop.io(), config.discovery, loop.deadlines(), loop.clock(), log,
+             [this](const discovery::Servers& servers) { apply(servers); }),
+      signals_(loop.io(), SIGTERM, SIGINT) {
+  pool_.attach(engine_);
+  engine_.on_subscribe([this] { watch_.restart(); });
+}
+
+void Dispatcher::start() {
+  // Discovery may be silent for long: the list that was last known serves until it speaks.
+  apply(config_.known);
+  watch_.start(config_.known.seq);
+  signals_.async_wait([this](boost::system::error_code error, int) {
+    if (!error) drain();
+  });
+  front_.server().accept();
+  log_("serving on " + config_.listen.address().to_string() + ":" + std::to_string(config_.listen.port()) +
+       " as " + config_.name);
+}
+
+void Dispatcher::apply(const discovery::Servers& servers) {
+  pool_.hosts(servers.addresses, servers.whole);
+  engine_.hosts(servers.list);
+}
+
+void Dispatcher::drain() {
+  if (draining_) return;
+  draining_ = true;
+  log_("draining: " + std::to_string(engine_.unanswered()) + " requests unanswered");
+  front_.server().drain();
+  loop_.deadlines().add(loop_.now() + kKeepAccepting, [this] {
+    front_.server().stop_accepting();
+    front_.server().close_idle();
+    finish_draining();
+  });
+}
+
+// Everything taken is answered, every stream passed on and every state let go of before the end.
+void Dispatcher::finish_draining() {
+  if (engine_.open() > 0 || front_.server().clients() > 0 || pool_.leases_out() > 0) {
+    loop_.deadlines().add(loop_.now() + kDrainLook, [this] { finish_draining(); });
+    return;
+  }
+  log_("drained");
+  loop_.stop();
+}
+
+}  // namespace bitternferry::app
--- /dev/null
+++ b/src/core/engine.cpp
@@ -0,0 +1,317 @@
+#include "core/engine.hpp"
+
+#include <algorithm>
+#include <type_traits>
+#include <utility>
+
+namespace bitternferry::core {
+
+using namespace basaltvane;
+using std::chrono::milliseconds;
+
+namespace {
+
+// A client may be left waiting for less than 5 s after a running replica's last event; a slow replica's
+// events come seconds apart at worst, so the stream is cut as late as that allows.
+constexpr Duration kSilence = milliseconds(4300);
+// A read that went astray is let go of only when the replica has had time to notice its end: a call that
+// overtook it would find nothing. Part of the pin limit.
+constexpr int kStrayPart = 4;
+
+}  // namespace
+
+bool Engine::Flight::any_out() const {
+  return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+}
+
+Engine::Engine(const Settings& settings, std::uint64_t seed, Upstream& upstream, Deadlines& deadlines,
+               Clock clock, Log log)
+    : settings_(settings),
+      upstream_(upstream),
+      deadlines_(deadlines),
+      clock_(std::move(clock)),
+      log_(std::move(log)),
+      router_(settings, seed) {}
+
+// ---- fronts ----
+
+SlotId Engine::submit(Answerer& front, SlotId client, const Request& request,
+                      std::shared_ptr<const Message> message) {
+  const SlotId id = requests_.emplace();
+  Flight& flight = *requests_.find(id);
+  flight.front = &front;
+  flight.client = client;
+  flight.message = std::move(message);
+  flight.deadline = request.client_deadline;
+  by_id_[request.id] = id;
+  ++unanswered_;
+  // The router answers by the deadline by itself. Should it ever fail to, the client still gets its answer.
+  flight.overdue = deadlines_.add(request.client_deadline + settings_.answer_slack, [this, id] {
+    Flight* late = requests_.find(id);
+    if (late == nullptr || late->answered) return;
+    log_("request " + late->message->id + " overdue: failed by the core");
+    late->front->fail(late->client, Failure::kTooLate);
+    answered(*late);
+    feed(ClientGone{late->message->id});
+    settle(id);
+  });
+  feed(request);
+  return id;
+}
+
+void Engine::client_gone(SlotId id) {
+  Flight* flight = requests_.find(id);
+  if (flight == nullptr || flight->answered) return;
+  answered(*flight);
+  const auto streaming = flight->streaming;
+  feed(ClientGone{flight->message->id});
+  // The router leaves a running stream alone; nobody reads it any more, so its work must stop here.
+  if (streaming) give_up_attempt(id, *streaming, Verdict::kCancelled);
+  if ((flight = requests_.find(id)) != nullptr && flight->may_hold && !flight->any_out()) stray(id);
+  settle(id);
+}
+
+void Engine::resume(SlotId id) {
+  Flight* flight = requests_.find(id);
+  if (flight == nullptr || !flight->paused || !flight->streaming) return;
+  flight->paused = false;
+  watch_silence(id);
+  upstream_.resume({id, *flight->streaming});
+}
+
+bool Engine::waits(SlotId id) {
+  const Flight* flight = requests_.find(id);
+  return flight != nullptr && !flight->answered;
+}
+
+// ---- discovery ----
+
+void Engine::hosts(const HostList& list) {
+  for (const HostEntry& entry : list.entries) {
+    for (const HostKind& kind : settings_.kinds) {
+      if (kind.name == entry.kind) roles_[entry.host] = kind.role;
+    }
+  }
+  feed(list);
+}
+
+// ---- upstream ----
+
+Engine::Attempt* Engine::find_out(AttemptId attempt, Flight** flight) {
+  *flight = requests_.find(attempt.request);
+  if (*flight == nullptr || attempt.number >= static_cast<int>((*flight)->attempts.size())) return nullptr;
+  Attempt& found = (*flight)->attempts[static_cast<std::size_t>(attempt.number)];
+  return found.out ? &found : nullptr;
+}
+
+void Engine::events(AttemptId attempt, std::string_view whole_events) {
+  Flight* flight = nullptr;
+  Attempt* found = find_out(attempt, &flight);
+  if (found == nullptr) return;
+  if (!flight->streaming) {
+    if (flight->answered) return give_up_attempt(attempt.request, attempt.number, Verdict::kCancelled);
+    flight->streaming = attempt.number;
+    flight->may_hold = false;  // with the first token all else that is held goes by itself
+    deadlines_.drop(found->limit);
+    deadlines_.drop(flight->overdue);
+    const SlotId client = flight->client;
+    Answerer* front = flight->front;
+    feed(FirstToken{flight->message->id, found->host, attempt.number, clock_() - found->sent});
+    front->begin(client);
+    if ((flight = requests_.find(attempt.request)) == nullptr) return;
+  }
+  if (flight->streaming != attempt.number || flight->answered) return;
+  watch_silence(attempt.request);
+  if (!flight->front->pass(flight->client, whole_events) &&
+      (flight = requests_.find(attempt.request)) != nullptr) {
+    flight->paused = true;
+    deadlines_.drop(flight->silence);  // it is the client that keeps silent now
+    upstream_.pause(attempt);
+  }
+}
+
+void Engine::watch_silence(SlotId id) {
+  Flight& flight = *requests_.find(id);
+  deadlines_.drop(flight.silence);
+  flight.silence = deadlines_.add(clock_() + kSilence, [this, id] {
+    Flight* silent = requests_.find(id);
+    if (silent == nullptr || !silent->streaming || silent->answered) return;
+    log_("stream " + silent->message->id + " silent: cut");
+    give_up_attempt(id, *silent->streaming, Verdict::kTimeout);
+  });
+}
+
+void Engine::ended(AttemptId attempt, const Ending& ending) {
+  Flight* flight = nullptr;
+  if (find_out(attempt, &flight) != nullptr) close(attempt.request, attempt.number, ending);
+}
+
+void Engine::hold_answer(AttemptId attempt, const std::string& host, bool held) {
+  Flight* flight = nullptr;
+  if (find_out(attempt, &flight) != nullptr) feed(HoldAnswer{flight->message->id, host, held});
+}
+
+// Ends an attempt from this side: a time-out, a cancel, or a stream that nobody reads or feeds.
+void Engine::give_up_attempt(SlotId id, int number, Verdict verdict) {
+  Flight* flight = nullptr;
+  if (find_out({id, number}, &flight) == nullptr) return;
+  const bool delivered = upstream_.abandon({id, number});
+  close(id, number, {!delivered && verdict == Verdict::kTimeout ? Verdict::kConnectFailed : verdict, 0, {}});
+}
+
+// The one place where an attempt ends.
+void Engine::close(SlotId id, int number, const Ending& ending) {
+  Flight& flight = *requests_.find(id);
+  Attempt& attempt = flight.attempts[static_cast<std::size_t>(number)];
+  attempt.out = false;
+  deadlines_.drop(attempt.limit);
+  Verdict verdict = ending.verdict;
+  if (flight.streaming == number && !flight.answered) {
+    deadlines_.drop(flight.silence);
+    answered(flight);
+    if (verdict == Verdict::kServed) {
+      flight.front->finish(flight.client);
+    } else {
+      log_("stream " + flight.message->id + " broke at host " + attempt.host);
+      flight.front->cut(flight.client);
+    }
+  } else if (verdict == Verdict::kServed && flight.streaming != number) {
+    verdict = Verdict::kError;  // a stream without one event: nothing to pass on, yet it may have run
+  }
+  flight.timed_out = verdict == Verdict::kTimeout;
+  const bool astray =
+      verdict == Verdict::kCancelled || verdict == Verdict::kTimeout || verdict == Verdict::kReset;
+  if (attempt.reads && astray) flight.may_hold = true;
+  if (verdict == Verdict::kRead) flight.may_hold = false;  // the router knows of a state now: its to let go
+  Outcome outcome{flight.message->id,      attempt.host,    number,      verdict,
+                  clock_() - attempt.sent, flight.answered, ending.note, ending.report};
+  if (flight.may_hold && !flight.any_out()) stray(id);
+  feed(std::move(outcome));
+  settle(id);
+}
+
+// Lets go of what an astray read may have left, unless another attempt is out by then: it would be robbed.
+void Engine::stray(SlotId id) {
+  Flight& flight = *requests_.find(id);
+  deadlines_.drop(flight.letting_go);
+  flight.letting_go = deadlines_.add(clock_() + settings_.pin_limit / kStrayPart, [this, id] {
+    Flight* stray = requests_.find(id);
+    if (stray == nullptr) return;
+    stray->letting_go = {};
+    if (stray->may_hold && !stray->any_out()) {
+      stray->may_hold = false;
+      upstream_.release(stray->message->id);
+    }
+    settle(id);
+  });
+}
+
+void Engine::answered(Flight& flight) {
+  flight.answered = true;
+  --unanswered_;
+  deadlines_.drop(flight.overdue);
+  deadlines_.drop(flight.silence);
+}
+
+void Engine::settle(SlotId id) {
+  Flight* flight = requests_.find(id);
+  if (flight == nullptr || !flight->answered || flight->any_out()) return;
+  if (flight->letting_go != Deadlines::Id{}) return;
+  by_id_.erase(flight->message->id);
+  requests_.erase(id);
+}
+
+// ---- the router ----
+
+// Events that come up while the router's actions are carried out wait their turn.
+void Engine::feed(Event event) {
+  queue_.push_back(std::move(event));
+  if (feeding_) return;
+  feeding_ = true;
+  while (!queue_.empty()) {
+    const Event next = std::move(queue_.front());
+    queue_.pop_front();
+    for (const Action& action : router_.handle(clock_(), next)) perform(action);
+  }
+  feeding_ = false;
+}
+
+SlotId Engine::find(const std::string& id) const {
+  const auto it = by_id_.find(id);
+  return it == by_id_.end() ? SlotId{} : it->second;
+}
+
+void Engine::perform(const Action& action) {
+  std::visit(
+      [this](const auto& a) {
+        using A = std::decay_t<decltype(a)>;
+        if constexpr (std::is_same_v<A, Send>) {
+          do_send(a);
+        } else if constexpr (std::is_same_v<A, Cancel>) {
+          do_cancel(a);
+        } else if constexpr (std::is_same_v<A, Release>) {
+          if (Flight* flight = requests_.find(find(a.request))) flight->may_hold = false;
+          upstream_.release(a.request);
+        } else if constexpr (std::is_same_v<A, Hold>) {
+          const SlotId id = find(a.request);
+          const Flight* flight = requests_.find(id);
+          if (flight != nullptr && !flight->answered && !flight->attempts.empty())
+            upstream_.hold({id, static_cast<int>(flight->attempts.size()) - 1}, a.host, a.request);
+        } else if constexpr (std::is_same_v<A, SetTimer>) {
+          deadlines_.add(clock_() + a.after, [this, tag = a.tag] { feed(Timer{tag}); });
+        } else if constexpr (std::is_same_v<A, Subscribe>) {
+          if (subscribe_) subscribe_();
+        } else if constexpr (std::is_same_v<A, basaltvane::Log>) {
+          log_(a.text);
+        } else {  // Refuse, Fail, Move: the request's end
+          const SlotId id = find(a.request);
+          Flight* flight = requests_.find(id);
+          if (flight == nullptr || flight->answered) return;
+          answered(*flight);
+          if constexpr (std::is_same_v<A, Refuse>) {
+            flight->front->refuse(flight->client, a.retry_in);
+          } else if constexpr (std::is_same_v<A, Fail>) {
+            const bool late = flight->timed_out || clock_() >= flight->deadline;
+            flight->front->fail(flight->client, late ? Failure::kTooLate : Failure::kUpstream);
+          } else {
+            flight->front->cut(flight->client);
+            if (flight->streaming) give_up_attempt(id, *flight->streaming, Verdict::kCancelled);
+          }
+          settle(id);
+        }
+      },
+      action);
+}
+
+void Engine::do_send(const Send& send) {
+  const SlotId id = find(send.request);
+  Flight* flight = requests_.find(id);
+  if (flight == nullptr) return;
+  const int number = static_cast<int>(flight->attempts.size());
+  const Time now = clock_();
+  Attempt attempt;
+  attempt.host = send.host;
+  attempt.sent = now;
+  const auto role = roles_.find(send.host);
+  attempt.reads = role != roles_.end() && role->second == Role::kReader;
+  flight->attempts.push_back(attempt);
+  const Time limit = send.not_past == Time{} ? flight->deadline : std::min(send.not_past, flight->deadline);
+  if (flight->answered || flight->streaming || number >= settings_.max_attempts || limit <= now) {
+    flight->attempts.back().out = false;
+    feed(Outcome{send.request, send.host, number, Verdict::kNeverSent, {}, flight->answered, 0, {}});
+    return;
+  }
+  flight->attempts.back().limit =
+      deadlines_.add(limit, [this, id, number] { give_up_attempt(id, number, Verdict::kTimeout); });
+  upstream_.drop_release(send.request);
+  upstream_.send({id, number}, send.host, flight->message, limit);
+}
+
+void Engine::do_cancel(const Cancel& cancel) {
+  const SlotId id = find(cancel.request);
+  const Flight* flight = requests_.find(id);
+  if (flight == nullptr || flight->streaming == cancel.attempt) return;
+  give_up_attempt(id, cancel.attempt, Verdict::kCancelled);
+}
+
+}  // namespace bitternferry::core
--- /dev/null
+++ b/src/core/engine.hpp
@@ -0,0 +1,149 @@
+// The core: feeds the router its events, carries out its actions, owns every request taken and its
+// deadlines. Fronts and the upstream are met through the small interfaces below; no wire is known here.
+#ifndef BITTERNFERRY_CORE_ENGINE_HPP_
+#define BITTERNFERRY_CORE_ENGINE_HPP_
+
+#include <compare>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "basaltvane/router.hpp"
+#include "core/deadlines.hpp"
+#include "net/slot_table.hpp"
+
+namespace bitternferry::core {
+
+using basaltvane::Verdict;
+using net::SlotId;
+using Log = std::function<void(std::string_view)>;
+
+// What passes on to a replica. The core reads nothing of it.
+struct Message {
+  std::string id, method, target, content_type, body;
+};
+
+struct AttemptId {
+  SlotId request;
+  int number = 0;
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+enum class Failure { kTooLate, kUpstream };
+
+// A front's side: where the answer to a request goes. `client` is the front's own handle for it.
+class Answerer {
+ public:
+  virtual ~Answerer() = default;
+  virtual void begin(SlotId client) = 0;  // the stream has begun: no other final answer follows
+  // Whole events. False: the client takes no more for now; Engine::resume() asks for the next.
+  virtual bool pass(SlotId client, std::string_view events) = 0;
+  virtual void finish(SlotId client) = 0;  // the stream came to its end
+  virtual void cut(SlotId client) = 0;     // it broke: the client must be able to tell
+  virtual void refuse(SlotId client, std::optional<Duration> retry_in) = 0;
+  virtual void fail(SlotId client, Failure why) = 0;
+};
+
+// The replicas' side. Never calls the engine back from inside a call.
+class Upstream {
+ public:
+  virtual ~Upstream() = default;
+  virtual void send(AttemptId attempt, const std::string& host, std::shared_ptr<const Message> message,
+                    Time not_past) = 0;
+  // Ends an attempt, which is not heard of again. False: it can't have reached the replica whole.
+  virtual bool abandon(AttemptId attempt) = 0;
+  virtual void pause(AttemptId attempt) = 0;
+  virtual void resume(AttemptId attempt) = 0;
+  virtual void hold(AttemptId attempt, const std::string& host, const std::string& id) = 0;
+  virtual void release(const std::string& id) = 0;
+  virtual void drop_release(const std::string& id) = 0;  // a new attempt may be about to leave a state
+};
+
+struct Ending {
+  Verdict verdict{};
+  int note = 0;
+  basaltvane::LoadReport report;
+};
+
+class Engine {
+ public:
+  Engine(const basaltvane::Settings& settings, std::uint64_t seed, Upstream& upstream, Deadlines& deadlines,
+         Clock clock, Log log);
+
+  // From the fronts.
+  SlotId submit(Answerer& front, SlotId client, const basaltvane::Request& request,
+                std::shared_ptr<const Message> message);
+  void client_gone(SlotId request);
+  void resume(SlotId request);
+  bool in_progress(const std::string& id) const { return by_id_.contains(id); }
+  bool waits(SlotId request);  // it still owes its client something
+
+  // From discovery.
+  void hosts(const basaltvane::HostList& list);
+  void on_subscribe(std::function<void()> action) { subscribe_ = std::move(action); }
+
+  // From the upstream.
+  void events(AttemptId attempt, std::string_view whole_events);  // the first call begins the stream
+  void ended(AttemptId attempt, const Ending& ending);
+  void hold_answer(AttemptId attempt, const std::string& host, bool held);
+
+  std::size_t unanswered() const { return unanswered_; }
+  std::size_t open() const { return requests_.size(); }
+
+ private:
+  struct Attempt {
+    std::string host;
+    Time sent{};
+    bool out = true, reads = false;
+    Deadlines::Id limit;
+  };
+  struct Flight {
+    Answerer* front = nullptr;
+    SlotId client;
+    std::shared_ptr<const Message> message;
+    Time deadline{};
+    std::vector<Attempt> attempts;
+    std::optional<int> streaming;  // the attempt that is the client's
+    bool answered = false, paused = false, timed_out = false;
+    bool may_hold = false;  // a read that went astray may have left a state
+    Deadlines::Id overdue, silence, letting_go;
+    bool any_out() const;
+  };
+
+  void feed(basaltvane::Event event);
+  void perform(const basaltvane::Action& action);
+  void do_send(const basaltvane::Send& send);
+  void do_cancel(const basaltvane::Cancel& cancel);
+  void close(SlotId id, int number, const Ending& ending);
+  void give_up_attempt(SlotId id, int number, Verdict verdict);
+  void stray(SlotId id);
+  void answered(Flight& flight);
+  void watch_silence(SlotId id);
+  void settle(SlotId id);
+  SlotId find(const std::string& id) const;
+  Attempt* find_out(AttemptId attempt, Flight** flight);
+
+  basaltvane::Settings settings_;
+  Upstream& upstream_;
+  Deadlines& deadlines_;
+  Clock clock_;
+  Log log_;
+  basaltvane::Router router_;
+  std::function<void()> subscribe_;
+  std::deque<basaltvane::Event> queue_;
+  bool feeding_ = false;
+  net::SlotTable<Flight> requests_;
+  std::unordered_map<std::string, SlotId> by_id_;
+  std::map<std::string, basaltvane::Role> roles_;  // by host
+  std::size_t unanswered_ = 0;
+};
+
+}  // namespace bitternferry::core
+
+#endif  // BITTERNFERRY_CORE_ENGINE_HPP_
--- /dev/null
+++ b/src/discovery/servers.cpp
@@ -0,0 +1,70 @@
+#include "discovery/servers.hpp"
+
+#include <cmath>
+#include <stdexcept>
+
+namespace bitternferry::discovery {
+
+using basaltvane::HostState;
+using Json = nlohmann::json;
+
+namespace {
+
+[[noreturn]] void bad(const std::string& field, const char* what) {
+  throw std::invalid_argument("field '" + field + "': " + what);
+}
+
+std::string text(const Json& object, const char* field) {
+  const auto it = object.find(field);
+  if (it == object.end() || !it->is_string()) bad(field, "text expected");
+  return it->get<std::string>();
+}
+
+double number(const Json& object, const char* field, double absent) {
+  const auto it = object.find(field);
+  if (it == object.end() || it->is_null()) return absent;
+  if (!it->is_number()) bad(field, "number expected");
+  const double value = it->get<double>();
+  if (!(std::abs(value) < 1e15)) bad(field, "number out of range");
+  return value;
+}
+
+HostState state(const std::string& word) {
+  if (word == "up") return HostState::kReady;
+  if (word == "draining") return HostState::kDraining;
+  if (word == "removed") return HostState::kGone;
+  bad("health", "up, draining or removed expected");
+}
+
+}  // namespace
+
+Servers parse_servers(const Json& object) {
+  if (!object.is_object()) throw std::invalid_argument("an object expected");
+  Servers servers;
+  servers.seq = static_cast<std::uint64_t>(std::max(0.0, number(object, "seq", 0)));
+  const auto whole = object.find("whole");
+  if (whole != object.end() && !whole->is_boolean()) bad("whole", "true or false expected");
+  servers.whole = whole != object.end() && whole->get<bool>();
+  servers.list.kind = servers.whole ? basaltvane::ListKind::kFull : basaltvane::ListKind::kDelta;
+  const auto hosts = object.find("hosts");
+  if (hosts == object.end() || !hosts->is_array()) bad("hosts", "array expected");
+  for (const Json& h : *hosts) {
+    if (!h.is_object()) bad("hosts", "objects expected");
+    basaltvane::HostEntry entry;
+    entry.host = text(h, "host");
+    entry.state = state(text(h, "health"));
+    entry.zone = text(h, "site");
+    entry.kind = text(h, "class");
+    entry.cell = static_cast<int>(std::lround(number(h, "block", 0)) & 0x7fffffff);
+    entry.weight = number(h, "share", 1);
+    // Unix time, as is the dispatcher's clock; 0 (long ago) stays 0.
+    entry.started = basaltvane::Time(std::llround(number(h, "born_ms", 0) * 1000));
+    const auto endpoint = net::parse_endpoint(text(h, "dial"));
+    if (!endpoint) bad("dial", "address and port expected");
+    servers.addresses.push_back({entry.host, *endpoint, entry.state == HostState::kReady});
+    servers.list.entries.push_back(std::move(entry));
+  }
+  return servers;
+}
+
+}  // namespace bitternferry::discovery
--- /dev/null
+++ b/src/discovery/watch.cpp
@@ -0,0 +1,105 @@
+#include "discovery/watch.hpp"
+
+#include <utility>
+
+namespace bitternferry::discovery {
+
+using std::chrono::milliseconds;
+
+namespace {
+constexpr core::Duration kConnect = milliseconds(1000);
+constexpr core::Duration kQuiet = milliseconds(7000);  // an empty line comes every 2 s
+constexpr core::Duration kAgain = milliseconds(200);
+constexpr std::size_t kMostIn = 256 * 1024, kMostOut = 4096, kMostLine = 16 * 1024 * 1024;
+}  // namespace
+
+Watch::Watch(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Deadlines& deadlines,
+             core::Clock clock, core::Log log, OnChange on_change)
+    : io_(io),
+      at_(at),
+      deadlines_(deadlines),
+      clock_(std::move(clock)),
+      log_(std::move(log)),
+      on_change_(std::move(on_change)) {}
+
+void Watch::start(std::uint64_t seq) {
+  seq_ = seq;
+  open();
+}
+
+void Watch::restart() {
+  if (connection_) connection_->close();
+  open();
+}
+
+void Watch::open() {
+  reader_.emplace(std::nullopt);
+  partial_.clear();
+  connection_ = net::Connection::connect(io_, at_, *this, {}, kMostIn, kMostOut);
+  expect(kConnect);
+}
+
+void Watch::expect(core::Duration within) {
+  deadlines_.drop(limit_);
+  limit_ = deadlines_.add(clock_() + within, [this] {
+    limit_ = {};
+    again("silent");
+  });
+}
+
+void Watch::again(std::string_view why) {
+  if (std::exchange(healthy_, false)) log_(std::string("discovery lost: ").append(why));
+  connection_->close();
+  deadlines_.drop(limit_);
+  limit_ = deadlines_.add(clock_() + kAgain, [this] {
+    limit_ = {};
+    open();
+  });
+}
+
+void Watch::on_connected(net::SlotId, net::error_code error) {
+  if (error) return again(error.message());
+  connection_->write("GET /v1/servers?follow=1&since=" + std::to_string(seq_) +
+                     " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n");
+  connection_->read();
+  expect(kQuiet);
+}
+
+void Watch::on_data(net::SlotId) {
+  const auto progress = reader_->read(connection_->input());
+  if (progress == http::Progress::kBad) return again("malformed answer");
+  if (!reader_->head_done()) return;
+  if (reader_->message().result_int() != 200)
+    return again("status " + std::to_string(reader_->message().result_int()));
+  expect(kQuiet);
+  take(reader_->take_body());
+  if (progress == http::Progress::kDone) again("the watch ended");
+}
+
+void Watch::on_ended(net::SlotId, net::error_code error) { again(error.message()); }
+
+void Watch::take(std::string_view text) {
+  while (!text.empty()) {
+    const std::size_t end = text.find('\n');
+    partial_.append(text.substr(0, end));
+    if (end == std::string_view::npos) break;
+    text.remove_prefix(end + 1);
+    line(std::exchange(partial_, {}));
+  }
+  if (partial_.size() > kMostLine) partial_.clear();
+}
+
+void Watch::line(std::string_view text) {
+  if (text.find_first_not_of(" \t\r") == std::string_view::npos) return;
+  try {
+    const auto object = nlohmann::json::parse(text, nullptr, false);
+    const Servers servers = parse_servers(object);
+    if (!std::exchange(healthy_, true)) log_("discovery back");
+    seq_ = servers.seq;
+    on_change_(servers);
+  } catch (const std::invalid_argument& e) {
+    log_(std::string("discovery sent a bad line: ") + e.what());
+  }
+}
+
+}  // namespace bitternferry::discovery
--- /dev/null
+++ b/src/discovery/watch.hpp
@@ -0,0 +1,56 @@
+// Follows discovery's list: one watch that is opened again whenever it ends, from the version last seen.
+#ifndef BITTERNFERRY_DISCOVERY_WATCH_HPP_
+#define BITTERNFERRY_DISCOVERY_WATCH_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "core/engine.hpp"
+#include "discovery/servers.hpp"
+#include "http/message.hpp"
+#include "net/connection.hpp"
+
+namespace bitternferry::discovery {
+
+class Watch : private net::Connection::Owner {
+ public:
+  using OnChange = std::function<void(const Servers&)>;
+  Watch(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Deadlines& deadlines,
+        core::Clock clock, core::Log log, OnChange on_change);
+  // Opens the watch for what came after `seq`; `whole`: no list is held yet.
+  void start(std::uint64_t seq);
+  void restart();
+  std::uint64_t seq() const { return seq_; }
+
+ private:
+  void on_connected(net::SlotId, net::error_code error) override;
+  void on_data(net::SlotId) override;
+  void on_sent(net::SlotId) override {}
+  void on_ended(net::SlotId, net::error_code error) override;
+  void open();
+  void take(std::string_view text);
+  void line(std::string_view text);
+  void again(std::string_view why);
+  void expect(core::Duration within);
+
+  boost::asio::io_context& io_;
+  net::tcp::endpoint at_;
+  core::Deadlines& deadlines_;
+  core::Clock clock_;
+  core::Log log_;
+  OnChange on_change_;
+  std::uint64_t seq_ = 0;
+  std::shared_ptr<net::Connection> connection_;
+  std::optional<http::ResponseReader> reader_;
+  std::string partial_;  // a line that has not come whole
+  bool healthy_ = true;  // to log a loss once
+  core::Deadlines::Id limit_;
+};
+
+}  // namespace bitternferry::discovery
+
+#endif  // BITTERNFERRY_DISCOVERY_WATCH_HPP_
--- /dev/null
+++ b/src/http/message.hpp
@@ -0,0 +1,103 @@
+// HTTP/1.1 on ring buffers: Beast's parsers fed from them, and the few messages that are written.
+#ifndef BITTERNFERRY_HTTP_MESSAGE_HPP_
+#define BITTERNFERRY_HTTP_MESSAGE_HPP_
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "net/ring_buffer.hpp"
+
+namespace bitternferry::http {
+
+namespace beast_http = boost::beast::http;
+
+constexpr std::size_t kMostBody = 256 * 1024;
+constexpr std::size_t kMostHead = 16 * 1024;
+
+enum class Progress { kMore, kDone, kBad };
+
+// Reads one message after another from a connection's input.
+template <bool kRequest>
+class Reader {
+ public:
+  using Message = beast_http::message<kRequest, beast_http::string_body>;
+  explicit Reader(std::optional<std::size_t> most_body) : most_body_(most_body) { reset(); }
+
+  void reset() {
+    parser_.emplace();
+    parser_->header_limit(kMostHead);
+    if (most_body_) {
+      parser_->body_limit(*most_body_);
+    } else {
+      parser_->body_limit(boost::none);
+    }
+    parser_->eager(true);
+  }
+  // Takes as much as belongs to this message. What follows its end stays in the buffer.
+  Progress read(net::RingBuffer& input) {
+    while (!parser_->is_done() && !input.empty()) {
+      error_.clear();
+      const std::size_t used = parser_->put(input.data(), error_);
+      input.consume(used);
+      if (error_ == beast_http::error::need_more) return Progress::kMore;
+      if (error_) return Progress::kBad;
+      if (used == 0) break;
+    }
+    return parser_->is_done() ? Progress::kDone : Progress::kMore;
+  }
+  // The connection's end: that of a body with neither length nor chunks, else of a message cut short.
+  Progress end() {
+    error_.clear();
+    if (!parser_->got_some()) return Progress::kBad;
+    parser_->put_eof(error_);
+    return !error_ && parser_->is_done() ? Progress::kDone : Progress::kBad;
+  }
+  bool head_done() const { return parser_->is_header_done(); }
+  bool started() const { return parser_->got_some(); }
+  bool keep_alive() const { return parser_->keep_alive(); }
+  const boost::system::error_code& error() const { return error_; }
+  Message& message() { return parser_->get(); }
+  // The part of the body that has come since the last call.
+  std::string take_body() {
+    std::string part = std::move(parser_->get().body());
+    parser_->get().body().clear();
+    return part;
+  }
+
+ private:
+  std::optional<std::size_t> most_body_;
+  std::optional<beast_http::parser<kRequest, beast_http::string_body>> parser_;
+  boost::system::error_code error_;
+};
+
+using RequestReader = Reader<true>;
+using ResponseReader = Reader<false>;
+
+template <class Fields>
+std::string_view header(const Fields& fields, std::string_view name) {
+  const auto it = fields.find(boost::beast::string_view(name.data(), name.size()));
+  if (it == fields.end()) return {};
+  return {it->value().data(), it->value().size()};
+}
+
+struct Header {
+  std::string_view name;
+  std::string value;
+};
+std::string_view reason(int status);
+// A whole answer with a length.
+std::string response(int status, std::string_view content_type, std::string_view body, bool keep_alive,
+                     std::initializer_list<Header> more = {});
+// The head of an answer in chunks, a chunk, and the last one.
+std::string stream_head(bool keep_alive);
+std::string chunk(std::string_view data);
+inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
+// A Retry-After value in seconds, with decimals where they are needed.
+std::string seconds_text(std::chrono::microseconds time);
+
+}  // namespace bitternferry::http
+
+#endif  // BITTERNFERRY_HTTP_MESSAGE_HPP_
--- /dev/null
+++ b/src/http/server.hpp
@@ -0,0 +1,99 @@
+// The serving half of HTTP/1.1: takes connections, reads requests, writes answers. Both fronts stand on it.
+#ifndef BITTERNFERRY_HTTP_SERVER_HPP_
+#define BITTERNFERRY_HTTP_SERVER_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "core/deadlines.hpp"
+#include "http/message.hpp"
+#include "net/connection.hpp"
+
+namespace bitternferry::http {
+
+using core::Duration;
+using core::Time;
+using net::SlotId;
+
+struct ServerOptions {
+  std::size_t most_clients = 560;
+  Duration idle = std::chrono::seconds(120);    // a connection between requests is closed after this
+  Duration arrival = std::chrono::seconds(20);  // for a request to come whole
+  Duration stall = std::chrono::seconds(20);    // for a client to take more of its stream
+  Duration linger = std::chrono::seconds(1);    // for a client to close after the last answer
+};
+
+class Server : private net::Connection::Owner, private net::Listener::Owner {
+ public:
+  using Request = RequestReader::Message;
+  class Handler {
+   public:
+    virtual ~Handler() = default;
+    // Exactly one answer is owed: answer(), or begin() and then end() or cut().
+    virtual void on_request(SlotId client, Request& request, Time arrived) = 0;
+    virtual void on_gone(SlotId client) = 0;  // closed while its answer was owed; nothing is owed any more
+    virtual void on_room(SlotId client) = 0;  // the stream that was told to wait may go on
+    virtual std::string error_body(int status, std::string_view what) = 0;  // JSON, in the front's form
+  };
+
+  // `shed` is asked to free a descriptor elsewhere when there are none left.
+  Server(boost::asio::io_context& io, const net::tcp::endpoint& at, Handler& handler,
+         core::Deadlines& deadlines, core::Clock clock, const ServerOptions& options,
+         std::function<bool()> shed);
+
+  void answer(SlotId client, int status, std::string_view type, std::string_view body,
+              std::initializer_list<Header> more = {});
+  void error(SlotId client, int status, std::string_view what, std::initializer_list<Header> more = {});
+  void begin(SlotId client);
+  bool pass(SlotId client, std::string_view events);  // false: wait for on_room()
+  void end(SlotId client);
+  void cut(SlotId client);  // ends the connection with no last chunk
+
+  // From now on each answer is its connection's last. Idle connections stay until close_idle().
+  void drain() { draining_ = true; }
+  void stop_accepting() { listener_.close(); }
+  void close_idle();
+  void accept() { listener_.accept(); }
+  bool draining() const { return draining_; }
+  std::size_t clients() const { return clients_.size(); }
+  net::tcp::endpoint local() const { return listener_.local(); }
+
+ private:
+  enum class State { kReading, kAnswering, kLingering };
+  struct Client {
+    std::shared_ptr<net::Connection> connection;
+    RequestReader reader{kMostBody};
+    State state = State::kReading;
+    bool streaming = false, waiting = false, keep = true, told_continue = false;
+    Time arrived{};
+    core::Deadlines::Id limit;
+  };
+
+  void on_accepted(net::tcp::socket socket) override;
+  void on_accept_failed(net::error_code error) override;
+  void on_data(SlotId id) override;
+  void on_sent(SlotId id) override;
+  void on_ended(SlotId id, net::error_code error) override;
+  void reject(SlotId id, Client& client);
+  void next(SlotId id);
+  void wait(SlotId id, Duration limit);
+  void gone(SlotId id);
+  void drop(SlotId id);
+  bool shed_idle();
+
+  Handler& handler_;
+  core::Deadlines& deadlines_;
+  core::Clock clock_;
+  ServerOptions options_;
+  std::function<bool()> shed_;
+  net::Listener listener_;
+  net::SlotTable<Client> clients_;
+  bool draining_ = false;
+};
+
+}  // namespace bitternferry::http
+
+#endif  // BITTERNFERRY_HTTP_SERVER_HPP_
--- /dev/null
+++ b/src/net/connection.cpp
@@ -0,0 +1,147 @@
+#include "net/connection.hpp"
+
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <charconv>
+
+namespace bitternferry::net {
+
+namespace asio = boost::asio;
+
+std::optional<tcp::endpoint> parse_endpoint(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  std::string_view host = text.substr(0, colon);
+  const std::string_view digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') host = host.substr(1, host.size() - 2);
+  error_code bad;
+  const auto address = asio::ip::make_address(std::string(host), bad);
+  if (bad) return std::nullopt;
+  return tcp::endpoint(address, port);
+}
+
+Connection::Connection(tcp::socket socket, std::size_t most_in, std::size_t most_out)
+    : socket_(std::move(socket)), in_(most_in), out_(most_out) {
+  error_code ignored;
+  if (socket_.is_open()) socket_.set_option(tcp::no_delay(true), ignored);
+}
+
+std::shared_ptr<Connection> Connection::connect(asio::io_context& io, const tcp::endpoint& to, Owner& owner,
+                                                SlotId id, std::size_t most_in, std::size_t most_out) {
+  auto self = std::make_shared<Connection>(tcp::socket(io), most_in, most_out);
+  self->own(owner, id);
+  error_code error;
+  self->socket_.open(to.protocol(), error);
+  const auto done = [self](error_code result) {
+    if (!self->open_) return;
+    self->owner_->on_connected(self->id_, result);
+  };
+  if (error) {
+    asio::post(io, [done, error] { done(error); });
+    return self;
+  }
+  self->socket_.set_option(tcp::no_delay(true), error);
+  self->socket_.async_connect(to, done);
+  return self;
+}
+
+void Connection::own(Owner& owner, SlotId id) {
+  owner_ = &owner;
+  id_ = id;
+}
+
+void Connection::read() {
+  wanted_ = true;
+  if (reading_ || !open_ || in_.room() == 0) return;
+  reading_ = true;
+  socket_.async_read_some(in_.prepare(), [self = shared_from_this()](error_code error, std::size_t n) {
+    self->reading_ = false;
+    if (!self->open_) return;
+    if (error) return self->fail(error);
+    self->in_.commit(n);
+    self->owner_->on_data(self->id_);
+    if (self->open_ && self->wanted_) self->read();
+  });
+}
+
+void Connection::pause() { wanted_ = false; }
+
+bool Connection::write(std::string_view text) {
+  if (!open_ || finishing_ || !out_.append(text)) return false;
+  pump();
+  return true;
+}
+
+void Connection::pump() {
+  if (writing_ || !open_) return;
+  if (out_.empty()) {
+    error_code ignored;
+    if (finishing_) socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    return;
+  }
+  writing_ = true;
+  socket_.async_write_some(out_.data(), [self = shared_from_this()](error_code error, std::size_t n) {
+    self->writing_ = false;
+    if (!self->open_) return;
+    if (error) return self->fail(error);
+    self->out_.consume(n);
+    self->pump();
+    self->owner_->on_sent(self->id_);
+  });
+}
+
+void Connection::fail(error_code error) {
+  wanted_ = false;
+  owner_->on_ended(id_, error);
+}
+
+bool Connection::stale() {
+  if (!open_ || !in_.empty()) return true;
+  char byte = 0;
+  const auto n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void Connection::finish() {
+  finishing_ = true;
+  pump();
+}
+
+void Connection::close() {
+  open_ = false;
+  error_code ignored;
+  socket_.close(ignored);
+}
+
+Listener::Listener(asio::io_context& io, const tcp::endpoint& at, Owner& owner)
+    : acceptor_(io), owner_(owner) {
+  acceptor_.open(at.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(at);
+  acceptor_.listen(asio::socket_base::max_listen_connections);
+}
+
+void Listener::accept() {
+  wanted_ = true;
+  if (accepting_ || !acceptor_.is_open()) return;
+  accepting_ = true;
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    accepting_ = false;
+    if (error == asio::error::operation_aborted) return;
+    if (error) return owner_.on_accept_failed(error);
+    owner_.on_accepted(std::move(socket));
+    if (wanted_) accept();
+  });
+}
+
+void Listener::close() {
+  wanted_ = false;
+  error_code ignored;
+  acceptor_.close(ignored);
+}
+
+}  // namespace bitternferry::net
--- /dev/null
+++ b/src/platform/front.cpp
@@ -0,0 +1,157 @@
+#include "platform/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace bitternferry::platform {
+
+namespace {
+
+template <class T>
+T parse_number(std::string_view text, const char* name, int base = 10) {
+  T value{};
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value, base);
+  if (error != std::errc() || end != text.data() + text.size())
+    throw std::invalid_argument(std::string(name) + ": not a number");
+  return value;
+}
+
+constexpr std::size_t kMostId = 64;
+constexpr int kMostTokens = 100'000'000;
+
+int parse_tokens(std::string_view text, const char* name) {
+  const int value = parse_number<int>(text, name);
+  if (value < 0 || value > kMostTokens) throw std::invalid_argument(std::string(name) + ": out of range");
+  return value;
+}
+
+void parse_facts(std::string_view facts, basaltvane::Request& r) {
+  while (!facts.empty()) {
+    const std::size_t comma = facts.find(',');
+    std::string_view fact = facts.substr(0, comma);
+    facts.remove_prefix(comma == std::string_view::npos ? facts.size() : comma + 1);
+    while (fact.starts_with(' ')) fact.remove_prefix(1);
+    const std::size_t equals = fact.find('=');
+    if (equals == std::string_view::npos) continue;
+    const std::string_view name = fact.substr(0, equals), value = fact.substr(equals + 1);
+    if (name == "prefix") r.shared_prefix = parse_number<std::uint64_t>(value, "X-Facts prefix", 16);
+    if (name == "prompt_len") r.prompt_tokens = parse_tokens(value, "X-Facts prompt_len");
+    if (name == "prefix_len") r.prefix_tokens = parse_tokens(value, "X-Facts prefix_len");
+    if (name == "max_out") r.max_tokens = parse_tokens(value, "X-Facts max_out");
+  }
+}
+
+}  // namespace
+
+basaltvane::Request parse_request(const http::Server::Request& request, const basaltvane::Settings& settings,
+                                  core::Time arrived) {
+  const auto get = [&](std::string_view name) { return http::header(request, name); };
+  basaltvane::Request r;
+  r.id = get("X-Correlation-Id");
+  const bool word =
+      std::all_of(r.id.begin(), r.id.end(), [](unsigned char c) { return std::isalnum(c) != 0; });
+  if (r.id.empty() || r.id.size() > kMostId || !word)
+    throw std::invalid_argument("X-Correlation-Id: letters and digits expected");
+  r.request_class = get("X-Service-Class");
+  const auto cls = std::find_if(settings.classes.begin(), settings.classes.end(),
+                                [&](const auto& c) { return c.name == r.request_class; });
+  if (cls == settings.classes.end()) throw std::invalid_argument("X-Service-Class: unknown class");
+  r.tenant = get("X-Account");
+  if (const auto key = get("X-Session-Key"); !key.empty())
+    r.session = parse_number<std::uint64_t>(key, "X-Session-Key", 16);
+  parse_facts(get("X-Facts"), r);
+  core::Duration left = cls->deadline;
+  if (const auto text = get("X-Time-Left-Ms"); !text.empty()) {
+    const auto ms = parse_number<std::int64_t>(text, "X-Time-Left-Ms");
+    if (ms < 0 || ms > 86'400'000) throw std::invalid_argument("X-Time-Left-Ms: out of range");
+    left = std::chrono::milliseconds(ms);
+  }
+  r.client_deadline = arrived + left;
+  const auto repeat = get("X-Repeat");
+  r.client_retry = repeat == "1";
+  r.resubmitted = repeat == "again";
+  return r;
+}
+
+Front::Front(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Engine& engine,
+             const basaltvane::Settings& settings, core::Deadlines& deadlines, core::Clock clock,
+             const http::ServerOptions& options, std::function<bool()> shed)
+    : engine_(engine),
+      settings_(settings),
+      server_(io, at, *this, deadlines, std::move(clock), options, std::move(shed)) {}
+
+void Front::on_request(SlotId client, http::Server::Request& request, core::Time arrived) {
+  const std::string_view target{request.target().data(), request.target().size()};
+  const std::string_view path = target.substr(0, target.find('?'));
+  const std::string_view method{request.method_string().data(), request.method_string().size()};
+  const bool health = path == "/healthz", chat = path == "/v1/chat/completions";
+  if (!health && !chat) return server_.error(client, 404, "no such path");
+  const std::string_view wanted = health ? "GET" : "POST";
+  if (method != wanted) return server_.error(client, 405, "wrong method", {{"Allow", std::string(wanted)}});
+  if (chat) return submit(client, request, arrived);
+  if (server_.draining()) return server_.error(client, 503, "shutting down");
+  server_.answer(client, 200, "text/plain", "ok\n");
+}
+
+void Front::submit(SlotId client, http::Server::Request& request, core::Time arrived) {
+  basaltvane::Request r;
+  try {
+    r = parse_request(request, settings_, arrived);
+  } catch (const std::invalid_argument& e) {
+    return server_.error(client, 400, e.what());
+  }
+  if (engine_.in_progress(r.id)) return server_.error(client, 409, "X-Correlation-Id: already in progress");
+  auto message = std::make_shared<core::Message>();
+  message->id = r.id;
+  message->method.assign(request.method_string().data(), request.method_string().size());
+  message->target.assign(request.target().data(), request.target().size());
+  message->content_type = http::header(request, "Content-Type");
+  message->body = std::move(request.body());
+  const SlotId id = engine_.submit(*this, client, r, std::move(message));
+  if (engine_.waits(id)) requests_[client] = id;
+}
+
+void Front::on_gone(SlotId client) {
+  const auto it = requests_.find(client);
+  if (it == requests_.end()) return;
+  const SlotId id = it->second;
+  requests_.erase(it);
+  engine_.client_gone(id);
+}
+
+void Front::on_room(SlotId client) {
+  if (const auto it = requests_.find(client); it != requests_.end()) engine_.resume(it->second);
+}
+
+std::string Front::error_body(int, std::string_view what) {
+  return nlohmann::json{{"error", {{"message", what}}}}.dump(-1, ' ', false,
+                                                             nlohmann::json::error_handler_t::replace);
+}
+
+void Front::finish(SlotId client) {
+  requests_.erase(client);
+  server_.end(client);
+}
+
+void Front::cut(SlotId client) {
+  requests_.erase(client);
+  server_.cut(client);
+}
+
+void Front::refuse(SlotId client, std::optional<core::Duration> retry_in) {
+  requests_.erase(client);
+  const std::string wait = http::seconds_text(retry_in.value_or(core::Duration{}));
+  if (!retry_in) return server_.error(client, 503, "try again");
+  server_.error(client, 503, "try again", {{"Retry-After", wait}});
+}
+
+void Front::fail(SlotId client, core::Failure why) {
+  requests_.erase(client);
+  const bool late = why == core::Failure::kTooLate;
+  server_.error(client, late ? 504 : 502, late ? "no answer in time" : "the attempt failed");
+}
+
+}  // namespace bitternferry::platform
--- /dev/null
+++ b/src/replica/pool.cpp
@@ -0,0 +1,394 @@
+#include "replica/pool.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "wire.hpp"
+
+namespace bitternferry::replica {
+
+using basaltvane::Verdict;
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::size_t kMostIn = 64 * 1024;
+constexpr std::size_t kMostOut = http::kMostBody + 2 * http::kMostHead;
+constexpr double kIdlePart = 0.6;  // of the replica's idle time, after which a connection is used no more
+constexpr Duration kDrainCare = milliseconds(150);  // no first byte goes to a replica drained for so long
+
+constexpr std::string_view kLoadComment = ": X-Backend-Load:";
+
+std::string request_head(std::string_view method, std::string_view target) {
+  std::string text;
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: backend.local\r\n");
+  return text;
+}
+
+std::string request_text(const core::Message& m, Duration left) {
+  std::string text = request_head(m.method, m.target);
+  text += "X-Correlation-Id: " + m.id + "\r\nX-Time-Left-Ms: " + std::to_string(left.count() / 1000) + "\r\n";
+  if (!m.content_type.empty()) text += "Content-Type: " + m.content_type + "\r\n";
+  text += "Content-Length: " + std::to_string(m.body.size()) + "\r\n\r\n";
+  return text + m.body;
+}
+
+int cached_tokens(const Json& object) {
+  if (!object.is_object()) return 0;
+  const auto it = object.find("cached_tokens");
+  return it != object.end() && it->is_number_integer() ? it->get<int>() : 0;
+}
+
+}  // namespace
+
+Pool::Pool(boost::asio::io_context& io, core::Deadlines& deadlines, core::Clock clock, core::Log log,
+           const Options& options)
+    : io_(io), deadlines_(deadlines), clock_(std::move(clock)), log_(std::move(log)), options_(options) {}
+
+void Pool::hosts(const std::vector<Address>& addresses, bool whole) {
+  if (whole) {
+    for (auto& [name, host] : hosts_) {
+      if (host.ready) host.drained = clock_();
+      host.ready = false;
+    }
+  }
+  for (const Address& a : addresses) {
+    Host& host = hosts_[a.host];
+    host.known = true;
+    host.endpoint = a.endpoint;
+    if (host.ready && !a.ready) host.drained = clock_();
+    host.ready = a.ready;
+  }
+}
+
+// ---- lines ----
+
+// An idle connection that still stands, or a new one. Empty: none may be opened.
+SlotId Pool::take(const std::string& name, Host& host, Duration patience) {
+  while (!host.idle.empty()) {
+    const SlotId id = host.idle.back();
+    Line& line = *lines_.find(id);
+    if (line.connection->stale()) {
+      drop(id);
+      continue;
+    }
+    host.idle.pop_back();
+    --idle_;
+    deadlines_.drop(line.limit);
+    return id;
+  }
+  if (lines_.size() >= options_.most_open && !shed()) return {};
+  const SlotId id = lines_.emplace();
+  Line& line = *lines_.find(id);
+  line.host = name;
+  line.connection = net::Connection::connect(io_, host.endpoint, *this, id, kMostIn, kMostOut);
+  line.limit = deadlines_.add(clock_() + patience, [this, id] { broke(id); });
+  return id;
+}
+
+bool Pool::shed() {
+  while (!idle_order_.empty()) {
+    const SlotId id = idle_order_.front();
+    idle_order_.pop_front();
+    const Line* line = lines_.find(id);
+    if (line == nullptr || line->kind != Kind::kNone || !line->connected) continue;
+    drop(id);
+    return true;
+  }
+  return false;
+}
+
+void Pool::start(SlotId id, Kind kind, std::string request) {
+  Line& line = *lines_.find(id);
+  line.kind = kind;
+  line.request = std::move(request);
+  line.sent = line.begun = false;
+  line.reader.reset();
+  line.framer = {};
+  line.ending = {};
+  if (line.connected) write(line);
+}
+
+void Pool::write(Line& line) {
+  line.connection->write(line.request);
+  line.request.clear();
+  line.request.shrink_to_fit();
+  line.connection->read();
+}
+
+void Pool::park(SlotId id) {
+  Line& line = *lines_.find(id);
+  line.kind = Kind::kNone;
+  line.reader.reset();
+  Host& host = hosts_[line.host];
+  if (host.idle.size() >= options_.most_idle || !host.ready) return drop(id);
+  if (idle_ >= options_.most_idle_all) shed();
+  host.idle.push_back(id);
+  idle_order_.push_back(id);
+  while (!idle_order_.empty() && idle_order_.size() > 4 * options_.most_idle_all) idle_order_.pop_front();
+  ++idle_;
+  const auto stay = Duration(std::llround(static_cast<double>(options_.idle_close.count()) * kIdlePart));
+  line.limit = deadlines_.add(clock_() + stay, [this, id] { drop(id); });
+  line.connection->read();  // to notice its end
+}
+
+void Pool::drop(SlotId id) {
+  Line* line = lines_.find(id);
+  if (line == nullptr) return;
+  auto& idle = hosts_[line->host].idle;
+  if (const auto it = std::find(idle.begin(), idle.end(), id); it != idle.end()) {
+    idle.erase(it);
+    --idle_;
+  }
+  deadlines_.drop(line->limit);
+  line->connection->close();
+  lines_.erase(id);
+}
+
+// ---- attempts ----
+
+void Pool::send(AttemptId attempt, const std::string& name, std::shared_ptr<const core::Message> message,
+                Time not_past) {
+  Host& host = hosts_[name];
+  const SlotId id = host.known ? take(name, host, options_.connect_timeout) : SlotId{};
+  if (!id) return fail_later(attempt);
+  Line& line = *lines_.find(id);
+  line.attempt = attempt;
+  attempts_[attempt] = id;
+  start(id, Kind::kAttempt, request_text(*message, not_past - clock_()));
+}
+
+// Nothing was sent; the engine must not hear of it before its own call has returned.
+void Pool::fail_later(AttemptId attempt) {
+  attempts_[attempt] = SlotId{};
+  deadlines_.add(clock_(), [this, attempt] {
+    if (attempts_.erase(attempt) > 0) engine_->ended(attempt, {Verdict::kConnectFailed, 0, {}});
+  });
+}
+
+bool Pool::abandon(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return true;
+  const SlotId id = it->second;
+  attempts_.erase(it);
+  const Line* line = lines_.find(id);
+  const bool delivered = line != nullptr && line->sent;
+  drop(id);
+  return delivered;
+}
+
+void Pool::pause(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  if (Line* line = lines_.find(it->second)) line->connection->pause();
+}
+
+void Pool::resume(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  if (it == attempts_.end()) return;
+  if (Line* line = lines_.find(it->second)) line->connection->read();
+}
+
+// ---- leases ----
+
+void Pool::hold(AttemptId attempt, const std::string& name, const std::string& request) {
+  Host& host = hosts_[name];
+  const SlotId id = host.known ? take(name, host, options_.connect_timeout) : SlotId{};
+  if (!id) return;
+  Line& line = *lines_.find(id);
+  line.attempt = attempt;
+  line.id = request;
+  start(id, Kind::kHold, request_head("POST", "/kv/leases/" + request) + "Content-Length: 0\r\n\r\n");
+}
+
+void Pool::release(const std::string& id) {
+  drop_release(id);
+  leases_[id];
+  try_release(id);
+}
+
+void Pool::drop_release(const std::string& id) {
+  const auto it = leases_.find(id);
+  if (it == leases_.end()) return;
+  drop(it->second.line);
+  leases_.erase(it);
+}
+
+// Any replica takes the call: one with an idle connection that was heard of last is the surest. A replica
+// that does not answer soon may have vanished, so the next is asked at once.
+void Pool::try_release(const std::string& id) {
+  Lease& lease = leases_[id];
+  while (true) {
+    const std::string* best_name = nullptr;
+    Host* best = nullptr;
+    for (auto& [name, host] : hosts_) {
+      if (!host.ready || lease.tried.contains(name)) continue;
+      const auto rank = [](const Host& h) { return std::pair(!h.idle.empty(), h.heard); };
+      if (best == nullptr || rank(host) > rank(*best)) best = &host, best_name = &name;
+    }
+    if (best == nullptr) {
+      log_("release of " + id + " reached no replica");
+      leases_.erase(id);
+      return;
+    }
+    lease.tried.insert(*best_name);
+    const SlotId line_id = take(*best_name, *best, options_.lease_patience);
+    if (!line_id) continue;
+    lease.line = line_id;
+    Line& line = *lines_.find(line_id);
+    line.id = id;
+    start(line_id, Kind::kRelease, request_head("DELETE", "/kv/leases/" + id) + "Content-Length: 0\r\n\r\n");
+    deadlines_.drop(line.limit);
+    line.limit = deadlines_.add(clock_() + options_.lease_patience, [this, line_id] { broke(line_id); });
+    return;
+  }
+}
+
+// ---- what the connections tell ----
+
+void Pool::on_connected(SlotId id, net::error_code error) {
+  Line* line = lines_.find(id);
+  if (line == nullptr) return;
+  if (error) return broke(id);
+  line->connected = true;
+  if (line->kind != Kind::kRelease) deadlines_.drop(line->limit);
+  Host& host = hosts_[line->host];
+  // The router chose this replica before it was told of the drain: the first byte must not go out late.
+  if (line->kind == Kind::kAttempt && !host.ready && clock_() > host.drained + kDrainCare) return broke(id);
+  write(*line);
+}
+
+void Pool::on_sent(SlotId id) {
+  Line* line = lines_.find(id);
+  if (line != nullptr && line->connection->output().empty()) line->sent = true;
+}
+
+void Pool::on_data(SlotId id) {
+  if (Line* line = lines_.find(id)) read(id, *line);
+}
+
+void Pool::on_ended(SlotId id, net::error_code error) {
+  Line* line = lines_.find(id);
+  if (line == nullptr) return;
+  if (line->kind != Kind::kNone && error == boost::asio::error::eof && line->reader.started() &&
+      line->reader.end() == http::Progress::kDone) {
+    if (line->kind == Kind::kAttempt && line->reader.message().result_int() == 200)
+      pass_events(id, line->reader.take_body());
+    if ((line = lines_.find(id)) != nullptr && line->kind != Kind::kNone) complete(id);
+    return;
+  }
+  broke(id);
+}
+
+void Pool::read(SlotId id, Line& first) {
+  if (first.kind == Kind::kNone) return drop(id);  // an idle connection has nothing to say
+  hosts_[first.host].heard = clock_();
+  const http::Progress progress = first.reader.read(first.connection->input());
+  if (progress == http::Progress::kBad) return broke(id);
+  if (first.reader.head_done() && first.kind == Kind::kAttempt && first.reader.message().result_int() == 200)
+    pass_events(id, first.reader.take_body());
+  Line* line = lines_.find(id);
+  if (line == nullptr || line->kind == Kind::kNone) return;
+  if (line->reader.message().body().size() > http::kMostBody || line->framer.too_long()) return broke(id);
+  if (progress == http::Progress::kDone) complete(id);
+}
+
+// Whole events go on at once; a load report and the count of tokens found kept are noted on the way.
+void Pool::pass_events(SlotId id, std::string_view bytes) {
+  Line* line = lines_.find(id);
+  std::string whole;
+  for (const std::string& event : line->framer.feed(bytes)) {
+    if (event.starts_with(kLoadComment)) {
+      line->ending.report = parse_report(std::string_view(event).substr(kLoadComment.size()));
+    } else if (event.find("\"cached_tokens\"") != std::string::npos) {
+      const Json usage = Json::parse(http::event_field(event, "data"), nullptr, false);
+      const auto path = Json::json_pointer("/usage/prompt_tokens_details");
+      if (usage.is_object() && usage.contains(path)) line->ending.note = cached_tokens(usage.at(path));
+    }
+    whole += event;
+  }
+  if (!whole.empty()) engine_->events(line->attempt, whole);
+}
+
+// The exchange ended without an answer.
+void Pool::broke(SlotId id) {
+  Line* line = lines_.find(id);
+  if (line == nullptr) return;
+  const Kind kind = line->kind;
+  const AttemptId attempt = line->attempt;
+  const std::string lease = line->id;
+  core::Ending ending = line->ending;
+  ending.verdict = line->sent ? Verdict::kReset : Verdict::kConnectFailed;
+  const std::string host = line->host;
+  drop(id);
+  if (kind == Kind::kAttempt && attempts_.erase(attempt) > 0) return engine_->ended(attempt, ending);
+  const auto it = leases_.find(lease);
+  if (kind == Kind::kRelease && it != leases_.end() && it->second.line == id) try_release(lease);
+}
+
+void Pool::complete(SlotId id) {
+  const std::string last = lines_.find(id)->framer.finish();
+  if (!last.empty()) engine_->events(lines_.find(id)->attempt, last);
+  Line* found = lines_.find(id);
+  if (found == nullptr || found->kind == Kind::kNone) return;
+  Line& line = *found;
+  deadlines_.drop(line.limit);
+  const Kind kind = line.kind;
+  const AttemptId attempt = line.attempt;
+  const std::string lease = line.id;
+  const std::string host = line.host;
+  const int status = static_cast<int>(line.reader.message().result_int());
+  const core::Ending ending = judge(line);
+  // Bytes past the answer are nobody's, and a connection that would be closed is not kept.
+  if (line.reader.keep_alive() && line.connection->input().empty() && line.sent) {
+    park(id);
+  } else {
+    drop(id);
+  }
+  if (kind == Kind::kAttempt && attempts_.erase(attempt) > 0) return engine_->ended(attempt, ending);
+  if (kind == Kind::kHold && (status == 200 || status == 409))
+    return engine_->hold_answer(attempt, host, status == 200);
+  if (kind == Kind::kRelease) leases_.erase(lease);
+}
+
+core::Ending Pool::judge(Line& line) {
+  core::Ending ending = line.ending;
+  const auto& message = line.reader.message();
+  const auto load = http::header(message, "X-Backend-Load");
+  if (!load.empty()) ending.report = parse_report(load);
+  const bool never_ran = http::header(message, "X-Unprocessed") == "1";
+  switch (message.result_int()) {
+    case 200: {  // a comment needs no blank line at the very end; anything else there is an event cut short
+      const std::string& rest = line.framer.rest();
+      if (rest.starts_with(kLoadComment)) ending.report = parse_report(rest.substr(kLoadComment.size()));
+      ending.verdict = rest.empty() || rest.front() == ':' ? Verdict::kServed : Verdict::kReset;
+      break;
+    }
+    case 202:
+      ending.verdict = Verdict::kRead;
+      ending.note = cached_tokens(Json::parse(message.body(), nullptr, false));
+      break;
+    case 410:
+      ending.verdict = never_ran ? Verdict::kFull : Verdict::kError;
+      ending.note = never_ran ? 1 : 0;
+      break;
+    case 503:
+    case 504:
+      ending.verdict = never_ran ? Verdict::kFull : Verdict::kError;
+      break;
+    default:
+      ending.verdict = Verdict::kError;
+      if (line.kind == Kind::kAttempt && message.result_int() != 500)
+        log_("host " + line.host + " answered " + std::to_string(message.result_int()));
+  }
+  return ending;
+}
+
+basaltvane::LoadReport Pool::parse_report(std::string_view text) {
+  const Json fields = Json::parse(text, nullptr, false);
+  return fields.is_object() ? basaltvane::wire::parse_load(fields) : basaltvane::LoadReport{};
+}
+
+}  // namespace bitternferry::replica
--- /dev/null
+++ b/src/replica/pool.hpp
@@ -0,0 +1,125 @@
+// The replicas' side: pooled connections, one exchange at a time on each, and the calls about leases.
+// Never sends anything twice by itself: what is tried again is the router's to say. Only the lease calls,
+// which may be repeated freely, go to the next replica by themselves.
+#ifndef BITTERNFERRY_REPLICA_POOL_HPP_
+#define BITTERNFERRY_REPLICA_POOL_HPP_
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/engine.hpp"
+#include "http/event_framer.hpp"
+#include "http/message.hpp"
+#include "net/connection.hpp"
+
+namespace bitternferry::replica {
+
+using core::AttemptId;
+using core::Duration;
+using core::Time;
+using net::SlotId;
+
+struct Options {
+  Duration connect_timeout{};
+  Duration idle_close{};            // the replica's side closes a connection that has stood idle for so long
+  Duration lease_patience{};        // for one try of a lease call
+  std::size_t most_idle = 24;       // idle connections kept to one replica ...
+  std::size_t most_idle_all = 160;  // ... and to all
+  std::size_t most_open = 360;      // connections open at once, whatever they do
+};
+
+// Where a replica listens, as discovery tells.
+struct Address {
+  std::string host;
+  net::tcp::endpoint endpoint;
+  bool ready = false;
+};
+
+class Pool : public core::Upstream, private net::Connection::Owner {
+ public:
+  Pool(boost::asio::io_context& io, core::Deadlines& deadlines, core::Clock clock, core::Log log,
+       const Options& options);
+  void attach(core::Engine& engine) { engine_ = &engine; }
+  void hosts(const std::vector<Address>& addresses, bool whole);
+  // Closes the oldest idle connection: descriptors are short. False: there is none.
+  bool shed();
+  std::size_t open() const { return lines_.size(); }
+  std::size_t leases_out() const { return leases_.size(); }
+
+  void send(AttemptId attempt, const std::string& host, std::shared_ptr<const core::Message> message,
+            Time not_past) override;
+  bool abandon(AttemptId attempt) override;
+  void pause(AttemptId attempt) override;
+  void resume(AttemptId attempt) override;
+  void hold(AttemptId attempt, const std::string& host, const std::string& id) override;
+  void release(const std::string& id) override;
+  void drop_release(const std::string& id) override;
+
+ private:
+  enum class Kind { kNone, kAttempt, kHold, kRelease };
+  // A connection and what it carries.
+  struct Line {
+    std::string host;
+    std::shared_ptr<net::Connection> connection;
+    bool connected = false, sent = false, begun = false;
+    Kind kind = Kind::kNone;  // kNone: idle, or being opened for nobody any more
+    AttemptId attempt;
+    std::string id;       // of the request that a lease call is about
+    std::string request;  // to be written once the connection is up
+    http::ResponseReader reader{std::nullopt};
+    http::EventFramer framer;
+    core::Ending ending;
+    core::Deadlines::Id limit;  // to connect, to answer a lease call, or to stand idle
+  };
+  struct Host {
+    net::tcp::endpoint endpoint;
+    bool known = false, ready = false;
+    Time drained{}, heard{};
+    std::deque<SlotId> idle;  // the last used at the back
+  };
+  struct Lease {  // a DELETE under way
+    std::set<std::string> tried;
+    SlotId line;
+  };
+
+  void on_connected(SlotId id, net::error_code error) override;
+  void on_data(SlotId id) override;
+  void on_sent(SlotId id) override;
+  void on_ended(SlotId id, net::error_code error) override;
+
+  SlotId take(const std::string& host, Host& to, Duration patience);
+  void start(SlotId id, Kind kind, std::string request);
+  void write(Line& line);
+  void read(SlotId id, Line& line);
+  void pass_events(SlotId id, std::string_view bytes);
+  void broke(SlotId id);
+  void complete(SlotId id);
+  core::Ending judge(Line& line);
+  void park(SlotId id);
+  void drop(SlotId id);
+  void try_release(const std::string& id);
+  void fail_later(AttemptId attempt);
+  basaltvane::LoadReport parse_report(std::string_view text);
+
+  boost::asio::io_context& io_;
+  core::Deadlines& deadlines_;
+  core::Clock clock_;
+  core::Log log_;
+  Options options_;
+  core::Engine* engine_ = nullptr;
+  net::SlotTable<Line> lines_;
+  std::map<std::string, Host> hosts_;
+  std::map<AttemptId, SlotId> attempts_;
+  std::map<std::string, Lease> leases_;
+  std::deque<SlotId> idle_order_;  // all that went idle, oldest first; may name lines that are gone
+  std::size_t idle_ = 0;
+};
+
+}  // namespace bitternferry::replica
+
+#endif  // BITTERNFERRY_REPLICA_POOL_HPP_
