--- a/include/basaltvane/router.hpp
+++ b/include/basaltvane/router.hpp
@@ -84,8 +84,8 @@
   Duration pin_limit{};
   Duration connect_timeout{};  // for dispatchers on sockets: a connection that is not made by then has failed
   Duration idle_close{};       // ... and one that has stood idle for so long is closed by the host
-  double cold_share{};   // a started host has at least this share of its capacity ...
-  Duration cold_time{};  // ... and all of it after this time
+  double cold_share{};         // a started host has at least this share of its capacity ...
+  Duration cold_time{};        // ... and all of it after this time
   double tip_multiple{};
   Duration tip_window{};
 };
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -28,28 +28,39 @@
   return options;
 }
 
-http::ServerOptions server_options(const Config& config) {
+http::ServerOptions server_options(const Config& config, std::size_t fronts) {
   http::ServerOptions options;
   const std::size_t usable = config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
-  options.most_clients = std::min<std::size_t>(options.most_clients, usable * 3 / 5);
+  options.most_clients = std::min<std::size_t>(options.most_clients, usable * 3 / 5) / fronts;
   return options;
 }
 
 }  // namespace
 
-Dispatcher::Dispatcher(Loop& loop, const Config& config, core::Log log)
+Dispatcher::Dispatcher(Loop& loop, const Config& config, const std::string& chat, core::Log log)
     : loop_(loop),
       config_(config),
       log_(log),
       pool_(loop.io(), loop.deadlines(), loop.clock(), log, pool_options(config)),
       engine_(config.settings, config.seed, pool_, loop.deadlines(), loop.clock(), log),
-      front_(loop.io(), config.listen, engine_, config_.settings, loop.deadlines(), loop.clock(),
-             server_options(config), [this] { return pool_.shed(); }),
+      platform_(loop.io(), config.listen, engine_, config_.settings, loop.deadlines(), loop.clock(),
+                server_options(config, chat.empty() ? 1 : 2), [this] { return pool_.shed(); }),
       watch_(loop.io(), config.discovery, loop.deadlines(), loop.clock(), log,
              [this](const discovery::Servers& servers) { apply(servers); }),
       signals_(loop.io(), SIGTERM, SIGINT) {
   pool_.attach(engine_);
   engine_.on_subscribe([this] { watch_.restart(); });
+  if (chat.empty()) return;
+  if (const auto wanted = chat::parse_config(chat, config_.settings)) {
+    chat_.emplace(loop.io(), *wanted, engine_, loop.deadlines(), loop.clock(), config.seed,
+                  server_options(config, 2), [this] { return pool_.shed(); });
+  }
+}
+
+std::vector<http::Server*> Dispatcher::servers() {
+  std::vector<http::Server*> all{&platform_.server()};
+  if (chat_) all.push_back(&chat_->server());
+  return all;
 }
 
 void Dispatcher::start() {
@@ -59,9 +70,10 @@
   signals_.async_wait([this](boost::system::error_code error, int) {
     if (!error) drain();
   });
-  front_.server().accept();
+  for (http::Server* server : servers()) server->accept();
   log_("serving on " + config_.listen.address().to_string() + ":" + std::to_string(config_.listen.port()) +
-       " as " + config_.name);
+       " as " + config_.name +
+       (chat_ ? ", chat on port " + std::to_string(chat_->server().local().port()) : ""));
 }
 
 void Dispatcher::apply(const discovery::Servers& servers) {
@@ -73,17 +85,21 @@
   if (draining_) return;
   draining_ = true;
   log_("draining: " + std::to_string(engine_.unanswered()) + " requests unanswered");
-  front_.server().drain();
+  for (http::Server* server : servers()) server->drain();
   loop_.deadlines().add(loop_.now() + kKeepAccepting, [this] {
-    front_.server().stop_accepting();
-    front_.server().close_idle();
+    for (http::Server* server : servers()) {
+      server->stop_accepting();
+      server->close_idle();
+    }
     finish_draining();
   });
 }
 
 // Everything taken is answered, every stream passed on and every state let go of before the end.
 void Dispatcher::finish_draining() {
-  if (engine_.open() > 0 || front_.server().clients() > 0 || pool_.leases_out() > 0) {
+  std::size_t clients = 0;
+  for (const http::Server* server : servers()) clients += server->clients();
+  if (engine_.open() > 0 || clients > 0 || pool_.leases_out() > 0) {
     loop_.deadlines().add(loop_.now() + kDrainLook, [this] { finish_draining(); });
     return;
   }
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -3,9 +3,13 @@
 #define BITTERNFERRY_APP_DISPATCHER_HPP_
 
 #include <boost/asio/signal_set.hpp>
+#include <optional>
+#include <string>
+#include <vector>
 
 #include "app/config.hpp"
 #include "app/loop.hpp"
+#include "chat/front.hpp"
 #include "core/engine.hpp"
 #include "discovery/watch.hpp"
 #include "platform/front.hpp"
@@ -15,20 +19,23 @@
 
 class Dispatcher {
  public:
-  Dispatcher(Loop& loop, const Config& config, core::Log log);
+  // `chat`: the text of the chat front's file, empty where there is none. Throws where it is bad.
+  Dispatcher(Loop& loop, const Config& config, const std::string& chat, core::Log log);
   void start();
   void drain();  // as SIGTERM asks: takes what still comes for a while, finishes everything, ends the loop
 
  private:
   void apply(const discovery::Servers& servers);
   void finish_draining();
+  std::vector<http::Server*> servers();
 
   Loop& loop_;
   Config config_;
   core::Log log_;
   replica::Pool pool_;
   core::Engine engine_;
-  platform::Front front_;
+  platform::Front platform_;
+  std::optional<chat::Front> chat_;
   discovery::Watch watch_;
   boost::asio::signal_set signals_;
   bool draining_ = false;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,6 +1,7 @@
 // The command line of the dispatcher.
 #include <CLI/CLI.hpp>
 #include <cstdio>
+#include <filesystem>
 #include <iostream>
 #include <string>
 
@@ -20,21 +21,29 @@
                static_cast<long long>(ms % 1000), static_cast<int>(text.size()), text.data());
 }
 
-int serve() {
+// A file that was named must be there; the one at the usual place need not be.
+std::string read_optional(const std::string& path, bool named) {
+  return named || std::filesystem::exists(path) ? app::read_file(path) : std::string();
+}
+
+int serve(const std::string& chat) {
   const app::Config config = app::load_config(app::read_environment());
   app::Loop loop;
-  app::Dispatcher dispatcher(loop, config, [&loop](std::string_view text) { log_line(loop.now(), text); });
+  app::Dispatcher dispatcher(loop, config, chat,
+                             [&loop](std::string_view text) { log_line(loop.now(), text); });
   dispatcher.start();
   loop.run();
   return 0;
 }
 
-int check_config(const std::string& path) {
+int check_config(const std::string& path, const std::string& chat) {
   app::Environment environment = app::read_environment();
   if (!path.empty()) environment["PROXY_CONFIG"] = path;
   const app::Config config = app::load_config(environment);
+  const bool chats = !chat.empty() && chat::parse_config(chat, config.settings).has_value();
   std::cout << "ok: " << config.name << ", " << config.settings.classes.size() << " classes, "
-            << config.known.list.entries.size() << " replicas known\n";
+            << config.known.list.entries.size() << " replicas known, chat front " << (chats ? "on" : "off")
+            << "\n";
   return 0;
 }
 
@@ -49,13 +58,17 @@
       cli.add_subcommand("check-config", "read the configuration, say what is wrong with it, and end");
   std::string path;
   check->add_option("file", path, "the file to read in place of PROXY_CONFIG");
+  std::string chat = "deploy/chat.json";
+  const auto* chat_option =
+      cli.add_option("--chat", chat, "the chat front's file")->envname("BITTERNFERRY_CHAT");
   CLI11_PARSE(cli, argc, argv);
   try {
     if (*version) {
       std::cout << kVersion << "\n";
       return 0;
     }
-    return *check ? check_config(path) : serve();
+    const std::string chat_text = read_optional(chat, chat_option->count() > 0);
+    return *check ? check_config(path, chat_text) : serve(chat_text);
   } catch (const std::exception& e) {
     std::cerr << "bitternferry: " << e.what() << "\n";
     return 1;
--- /dev/null
+++ b/src/chat/config.hpp
@@ -0,0 +1,44 @@
+// The chat front's file under deploy/: where to listen, and how the standard's fields map to ours.
+#ifndef BITTERNFERRY_CHAT_CONFIG_HPP_
+#define BITTERNFERRY_CHAT_CONFIG_HPP_
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "basaltvane/router.hpp"
+#include "net/connection.hpp"
+
+namespace bitternferry::chat {
+
+// what() is one line that names the field.
+struct ConfigError : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+struct Model {
+  std::string id;
+  const basaltvane::RequestClass* cls = nullptr;
+  basaltvane::Duration deadline{};  // to the first token, before the prompt's length is added
+};
+
+struct Key {
+  std::string key, account;
+};
+
+struct Config {
+  net::tcp::endpoint listen;
+  std::vector<Model> models;
+  std::vector<Key> keys;  // none: every client is served, on `account`
+  std::string account;
+  std::size_t max_open = 256;  // requests in progress; more are told to come later
+  int default_max_tokens = 300;
+};
+
+// Empty where the file names no address: the front is off. The models point into `settings`.
+std::optional<Config> parse_config(const std::string& text, const basaltvane::Settings& settings);
+
+}  // namespace bitternferry::chat
+
+#endif  // BITTERNFERRY_CHAT_CONFIG_HPP_
--- /dev/null
+++ b/src/chat/front.cpp
@@ -0,0 +1,218 @@
+#include "chat/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace bitternferry::chat {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr std::string_view kCompletions = "/v1/chat/completions", kModels = "/v1/models",
+                           kHealth = "/healthz";
+constexpr core::Duration kComeLater = milliseconds(500);  // where the module gives no advice
+
+// All of both is compared, so that the time taken tells nothing of where they differ.
+bool same_secret(std::string_view a, std::string_view b) {
+  std::size_t differ = a.size() ^ b.size();
+  for (std::size_t i = 0; i < a.size(); ++i)
+    differ |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b.empty() ? 0 : b[i % b.size()]);
+  return differ == 0;
+}
+
+ApiError server_error(int status, const char* message, const char* code) {
+  return {status, message, "server_error", std::nullopt, code};
+}
+
+}  // namespace
+
+Front::Front(boost::asio::io_context& io, const Config& config, core::Engine& engine,
+             core::Deadlines& deadlines, core::Clock clock, std::uint64_t seed,
+             const http::ServerOptions& options, std::function<bool()> shed)
+    : http::Front(io, config.listen, engine, deadlines, clock, options, std::move(shed)),
+      config_(config),
+      clock_(std::move(clock)),
+      seed_(seed) {}
+
+// ---- requests ----
+
+std::optional<std::string> Front::account(const http::Server::Request& request) const {
+  if (config_.keys.empty()) return config_.account;
+  std::string_view given = http::header(request, "Authorization");
+  constexpr std::string_view kScheme = "Bearer ";
+  if (!given.starts_with(kScheme)) return std::nullopt;
+  given.remove_prefix(kScheme.size());
+  std::optional<std::string> found;
+  for (const Key& k : config_.keys) {
+    if (same_secret(k.key, given)) found = k.account;
+  }
+  return found;
+}
+
+void Front::on_request(SlotId client, http::Server::Request& request, core::Time arrived) {
+  const std::string_view target{request.target().data(), request.target().size()};
+  const std::string_view path = target.substr(0, target.find('?'));
+  const std::string_view method{request.method_string().data(), request.method_string().size()};
+  const bool one_model =
+      path.starts_with(kModels) && path.size() > kModels.size() + 1 && path[kModels.size()] == '/';
+  if (path != kCompletions && path != kModels && path != kHealth && !one_model)
+    return server_.error(client, 404, "no such path: " + std::string(path));
+  const std::string wanted = path == kCompletions ? "POST" : "GET";
+  if (method != wanted) return server_.error(client, 405, "this path takes " + wanted, {{"Allow", wanted}});
+  if (path == kHealth) {
+    if (server_.draining()) return server_.error(client, 503, "shutting down");
+    return server_.answer(client, 200, "text/plain", "ok\n");
+  }
+  const auto who = account(request);
+  if (!who) {
+    return reply(client, {401, "no valid API key was given", "invalid_request_error", {}, "invalid_api_key"},
+                 {{"WWW-Authenticate", "Bearer"}});
+  }
+  if (path == kCompletions) return complete(client, request, arrived, *who);
+  models(client, one_model ? path.substr(kModels.size() + 1) : std::string_view());
+}
+
+void Front::models(SlotId client, std::string_view id) {
+  Json list = Json::array();
+  for (const Model& m : config_.models) {
+    Json model{{"id", m.id}, {"object", "model"}, {"created", 0}, {"owned_by", "bitternferry"}};
+    if (m.id == id) return server_.answer(client, 200, "application/json", model.dump());
+    list.push_back(std::move(model));
+  }
+  if (!id.empty()) {
+    return reply(client, {404, "the model '" + std::string(id) + "' does not exist", "invalid_request_error",
+                          "model", "model_not_found"});
+  }
+  server_.answer(client, 200, "application/json", Json{{"object", "list"}, {"data", list}}.dump());
+}
+
+void Front::complete(SlotId client, http::Server::Request& request, core::Time arrived,
+                     const std::string& who) {
+  if (exchanges_.size() >= config_.max_open) {
+    return come_later(client,
+                      {429, "too many requests in progress", "rate_limit_error", {}, "rate_limit_exceeded"},
+                      kComeLater);
+  }
+  ChatRequest chat;
+  try {
+    chat = parse_request(request.body(), config_, who);
+  } catch (const ApiError& error) {
+    return reply(client, error);
+  }
+  basaltvane::Request r = chat.routing;
+  r.id = new_id();
+  r.client_deadline = arrived + time_to_first_token(chat);
+  // The standard's client libraries count their retries in this header.
+  const auto retry = http::header(request, "X-Stainless-Retry-Count");
+  r.client_retry = !retry.empty() && retry != "0";
+  auto message = std::make_shared<core::Message>();
+  message->id = r.id;
+  message->method = "POST";
+  message->target = kCompletions;
+  message->content_type = "application/json";
+  message->body = std::move(chat.body);
+  const std::int64_t created = clock_().count() / 1'000'000;
+  exchanges_.emplace(
+      client, Exchange{Answer("chatcmpl-" + r.id, chat.model->id, created, chat.stream, chat.include_usage),
+                       chat.model->cls->repeat == basaltvane::Repeat::kSafe});
+  submit(client, r, std::move(message));
+}
+
+// Sixteen hexadecimal digits, as the replicas know them. No two of one instance's life are the same.
+std::string Front::new_id() {
+  std::uint64_t x = seed_ + 0x9e3779b97f4a7c15ULL * ++made_;  // splitmix64: one to one in the counter
+  x = (x ^ (x >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27U)) * 0x94d049bb133111ebULL;
+  x ^= x >> 31U;
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(x));
+  return text;
+}
+
+// ---- answers ----
+
+void Front::forget(SlotId client) {
+  exchanges_.erase(client);
+  http::Front::forget(client);
+}
+
+void Front::begin(SlotId client) {
+  const auto it = exchanges_.find(client);
+  if (it != exchanges_.end() && it->second.answer.stream()) server_.begin(client);
+}
+
+bool Front::pass(SlotId client, std::string_view events) {
+  const auto it = exchanges_.find(client);
+  if (it == exchanges_.end()) return true;
+  const std::string out = it->second.answer.take(events);
+  return out.empty() || server_.pass(client, out);
+}
+
+void Front::finish(SlotId client) {
+  const auto it = exchanges_.find(client);
+  if (it == exchanges_.end()) return;
+  if (!it->second.answer.complete()) return cut(client);  // no end that the replica did not give
+  const Answer answer = std::move(it->second.answer);
+  forget(client);
+  if (answer.stream()) return server_.end(client);
+  server_.answer(client, 200, "application/json", answer.completion());
+}
+
+// After the first token nothing is sent again, and nothing may look like an end: a streaming client is told
+// by an error event and by its connection, any other by its status.
+void Front::cut(SlotId client) {
+  const auto it = exchanges_.find(client);
+  if (it == exchanges_.end()) return;
+  const bool stream = it->second.answer.stream(), repeatable = it->second.repeatable;
+  const ApiError error = server_error(502, "the answer broke off", "stream_broken");
+  forget(client);
+  if (!stream) return may_have_run(client, error, repeatable);
+  server_.pass(client, "data: " + to_body(error) + "\n\n");
+  server_.cut(client);
+}
+
+void Front::refuse(SlotId client, std::optional<core::Duration> retry_in) {
+  forget(client);
+  come_later(client,
+             server_error(503, "the service is busy: nothing was done, try again later", "overloaded"),
+             retry_in.value_or(kComeLater));
+}
+
+void Front::fail(SlotId client, core::Failure why) {
+  const auto it = exchanges_.find(client);
+  const bool repeatable = it != exchanges_.end() && it->second.repeatable;
+  forget(client);
+  const ApiError error = why == core::Failure::kTooLate
+                             ? server_error(504, "no answer came in time; it may have run", "timeout")
+                             : server_error(502, "the attempt failed; it may have run", "upstream_failed");
+  may_have_run(client, error, repeatable);
+}
+
+// Client libraries try again by themselves on these statuses; what must not run twice they are told to leave.
+void Front::may_have_run(SlotId client, const ApiError& error, bool repeatable) {
+  if (repeatable) return reply(client, error);
+  reply(client, error, {{"X-Should-Retry", "false"}});
+}
+
+void Front::come_later(SlotId client, const ApiError& error, core::Duration wait) {
+  const auto ms = std::max<std::int64_t>(1, wait.count() / 1000);
+  reply(client, error,
+        {{"Retry-After", std::to_string((ms + 999) / 1000)},
+         {"Retry-After-Ms", std::to_string(ms)},
+         {"X-Should-Retry", "true"}});
+}
+
+void Front::reply(SlotId client, const ApiError& error, std::initializer_list<http::Header> more) {
+  server_.answer(client, error.status, "application/json", to_body(error), more);
+}
+
+std::string Front::error_body(int status, std::string_view what) {
+  const bool ours = status >= 500;
+  return to_body({status, std::string(what), ours ? "server_error" : "invalid_request_error", {}, {}});
+}
+
+}  // namespace bitternferry::chat
--- /dev/null
+++ b/src/chat/front.hpp
@@ -0,0 +1,56 @@
+// The OpenAI-style front: chat completions, whole or streamed, over the same core as the platform's.
+#ifndef BITTERNFERRY_CHAT_FRONT_HPP_
+#define BITTERNFERRY_CHAT_FRONT_HPP_
+
+#include <map>
+#include <string>
+
+#include "chat/answer.hpp"
+#include "chat/config.hpp"
+#include "chat/request.hpp"
+#include "http/front.hpp"
+
+namespace bitternferry::chat {
+
+using net::SlotId;
+
+class Front : public http::Front {
+ public:
+  Front(boost::asio::io_context& io, const Config& config, core::Engine& engine, core::Deadlines& deadlines,
+        core::Clock clock, std::uint64_t seed, const http::ServerOptions& options,
+        std::function<bool()> shed);
+
+ private:
+  void on_request(SlotId client, http::Server::Request& request, core::Time arrived) override;
+  std::string error_body(int status, std::string_view what) override;
+  void begin(SlotId client) override;
+  bool pass(SlotId client, std::string_view events) override;
+  void finish(SlotId client) override;
+  void cut(SlotId client) override;
+  void refuse(SlotId client, std::optional<core::Duration> retry_in) override;
+  void fail(SlotId client, core::Failure why) override;
+  void forget(SlotId client) override;
+
+  // The account that the request may use; empty: its key is not known.
+  std::optional<std::string> account(const http::Server::Request& request) const;
+  void models(SlotId client, std::string_view id);
+  void complete(SlotId client, http::Server::Request& request, core::Time arrived,
+                const std::string& account);
+  void reply(SlotId client, const ApiError& error, std::initializer_list<http::Header> more = {});
+  void may_have_run(SlotId client, const ApiError& error, bool repeatable);
+  void come_later(SlotId client, const ApiError& error, core::Duration wait);
+  std::string new_id();
+
+  Config config_;
+  core::Clock clock_;
+  std::uint64_t seed_, made_ = 0;
+  struct Exchange {
+    Answer answer;
+    bool repeatable;  // whatever became of it, asking again does no harm
+  };
+  std::map<SlotId, Exchange> exchanges_;  // by client: those that are under way
+};
+
+}  // namespace bitternferry::chat
+
+#endif  // BITTERNFERRY_CHAT_FRONT_HPP_
--- /dev/null
+++ b/src/chat/request.hpp
@@ -0,0 +1,41 @@
+// A chat completion request: checked, and turned into what the router decides by and a replica is sent.
+#ifndef BITTERNFERRY_CHAT_REQUEST_HPP_
+#define BITTERNFERRY_CHAT_REQUEST_HPP_
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "basaltvane/router.hpp"
+#include "chat/config.hpp"
+
+namespace bitternferry::chat {
+
+// An answer that is an error in the standard's form.
+struct ApiError {
+  int status = 400;
+  std::string message, type = "invalid_request_error";
+  std::optional<std::string> param, code;
+};
+std::string to_body(const ApiError& error);
+
+struct ChatRequest {
+  basaltvane::Request routing;  // without its id and deadline
+  const Model* model = nullptr;
+  std::string body;  // as a replica gets it: always streamed, with the usage at the end
+  bool stream = false, include_usage = false;
+};
+
+// Parses JSON no deeper than a request or event needs to be: what is nested without end must not use up the
+// stack. Discarded where it is malformed.
+nlohmann::json parse_json(std::string_view text);
+
+// Throws ApiError.
+ChatRequest parse_request(std::string_view body, const Config& config, const std::string& account);
+// The time that the client is taken to wait for its first token.
+basaltvane::Duration time_to_first_token(const ChatRequest& request);
+
+}  // namespace bitternferry::chat
+
+#endif  // BITTERNFERRY_CHAT_REQUEST_HPP_
--- /dev/null
+++ b/src/http/front.hpp
@@ -0,0 +1,55 @@
+// What the two fronts share: a server on one side, the core on the other, and which client waits for which
+// request.
+#ifndef BITTERNFERRY_HTTP_FRONT_HPP_
+#define BITTERNFERRY_HTTP_FRONT_HPP_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "core/engine.hpp"
+#include "http/server.hpp"
+
+namespace bitternferry::http {
+
+class Front : private Server::Handler, private core::Answerer {
+ public:
+  Front(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Engine& engine,
+        core::Deadlines& deadlines, core::Clock clock, const ServerOptions& options,
+        std::function<bool()> shed)
+      : server_(io, at, *this, deadlines, std::move(clock), options, std::move(shed)), engine_(engine) {}
+  Front(const Front&) = delete;
+  Front& operator=(const Front&) = delete;
+  Server& server() { return server_; }
+
+ protected:
+  // Hands a request to the core, which may answer it before this returns.
+  void submit(SlotId client, const basaltvane::Request& request,
+              std::shared_ptr<const core::Message> message) {
+    const SlotId id = engine_.submit(*this, client, request, std::move(message));
+    if (engine_.waits(id)) requests_[client] = id;
+  }
+  std::size_t waiting() const { return requests_.size(); }
+  // The client's request has its answer, or nobody waits for it any more.
+  virtual void forget(SlotId client) { requests_.erase(client); }
+
+  Server server_;
+  core::Engine& engine_;
+
+ private:
+  void on_gone(SlotId client) override {
+    const auto it = requests_.find(client);
+    const SlotId id = it == requests_.end() ? SlotId{} : it->second;
+    forget(client);
+    engine_.client_gone(id);
+  }
+  void on_room(SlotId client) override {
+    if (const auto it = requests_.find(client); it != requests_.end()) engine_.resume(it->second);
+  }
+
+  std::map<SlotId, SlotId> requests_;  // by client: its request in the core
+};
+
+}  // namespace bitternferry::http
+
+#endif  // BITTERNFERRY_HTTP_FRONT_HPP_
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -79,9 +79,8 @@
 Front::Front(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Engine& engine,
              const basaltvane::Settings& settings, core::Deadlines& deadlines, core::Clock clock,
              const http::ServerOptions& options, std::function<bool()> shed)
-    : engine_(engine),
-      settings_(settings),
-      server_(io, at, *this, deadlines, std::move(clock), options, std::move(shed)) {}
+    : http::Front(io, at, engine, deadlines, std::move(clock), options, std::move(shed)),
+      settings_(settings) {}
 
 void Front::on_request(SlotId client, http::Server::Request& request, core::Time arrived) {
   const std::string_view target{request.target().data(), request.target().size()};
@@ -91,12 +90,12 @@
   if (!health && !chat) return server_.error(client, 404, "no such path");
   const std::string_view wanted = health ? "GET" : "POST";
   if (method != wanted) return server_.error(client, 405, "wrong method", {{"Allow", std::string(wanted)}});
-  if (chat) return submit(client, request, arrived);
+  if (chat) return take(client, request, arrived);
   if (server_.draining()) return server_.error(client, 503, "shutting down");
   server_.answer(client, 200, "text/plain", "ok\n");
 }
 
-void Front::submit(SlotId client, http::Server::Request& request, core::Time arrived) {
+void Front::take(SlotId client, http::Server::Request& request, core::Time arrived) {
   basaltvane::Request r;
   try {
     r = parse_request(request, settings_, arrived);
@@ -110,20 +109,7 @@
   message->target.assign(request.target().data(), request.target().size());
   message->content_type = http::header(request, "Content-Type");
   message->body = std::move(request.body());
-  const SlotId id = engine_.submit(*this, client, r, std::move(message));
-  if (engine_.waits(id)) requests_[client] = id;
-}
-
-void Front::on_gone(SlotId client) {
-  const auto it = requests_.find(client);
-  if (it == requests_.end()) return;
-  const SlotId id = it->second;
-  requests_.erase(it);
-  engine_.client_gone(id);
-}
-
-void Front::on_room(SlotId client) {
-  if (const auto it = requests_.find(client); it != requests_.end()) engine_.resume(it->second);
+  submit(client, r, std::move(message));
 }
 
 std::string Front::error_body(int, std::string_view what) {
@@ -132,24 +118,24 @@
 }
 
 void Front::finish(SlotId client) {
-  requests_.erase(client);
+  forget(client);
   server_.end(client);
 }
 
 void Front::cut(SlotId client) {
-  requests_.erase(client);
+  forget(client);
   server_.cut(client);
 }
 
 void Front::refuse(SlotId client, std::optional<core::Duration> retry_in) {
-  requests_.erase(client);
+  forget(client);
   const std::string wait = http::seconds_text(retry_in.value_or(core::Duration{}));
   if (!retry_in) return server_.error(client, 503, "try again");
   server_.error(client, 503, "try again", {{"Retry-After", wait}});
 }
 
 void Front::fail(SlotId client, core::Failure why) {
-  requests_.erase(client);
+  forget(client);
   const bool late = why == core::Failure::kTooLate;
   server_.error(client, late ? 504 : 502, late ? "no answer in time" : "the attempt failed");
 }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -4,38 +4,30 @@
 
 #include <string>
 
-#include "core/engine.hpp"
-#include "http/server.hpp"
+#include "http/front.hpp"
 
 namespace bitternferry::platform {
 
 using net::SlotId;
 
-class Front : private http::Server::Handler, private core::Answerer {
+class Front : public http::Front {
  public:
   Front(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Engine& engine,
         const basaltvane::Settings& settings, core::Deadlines& deadlines, core::Clock clock,
         const http::ServerOptions& options, std::function<bool()> shed);
-  http::Server& server() { return server_; }
 
  private:
   void on_request(SlotId client, http::Server::Request& request, core::Time arrived) override;
-  void on_gone(SlotId client) override;
-  void on_room(SlotId client) override;
   std::string error_body(int status, std::string_view what) override;
-
   void begin(SlotId client) override { server_.begin(client); }
   bool pass(SlotId client, std::string_view events) override { return server_.pass(client, events); }
   void finish(SlotId client) override;
   void cut(SlotId client) override;
   void refuse(SlotId client, std::optional<core::Duration> retry_in) override;
   void fail(SlotId client, core::Failure why) override;
-  void submit(SlotId client, http::Server::Request& request, core::Time arrived);
+  void take(SlotId client, http::Server::Request& request, core::Time arrived);
 
-  core::Engine& engine_;
   const basaltvane::Settings& settings_;
-  std::map<SlotId, SlotId> requests_;  // by client: its request in the core
-  http::Server server_;
 };
 
 // The request that the headers describe. Throws std::invalid_argument naming the header.
