--- /dev/null
+++ b/tests/dispatcher/main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/tests/dispatcher/world.cpp
@@ -0,0 +1,143 @@
+#include "world.hpp"
+
+#include <algorithm>
+
+namespace bitternferry::testing {
+
+using basaltvane::HostState;
+using basaltvane::Repeat;
+
+basaltvane::Settings make_settings() {
+  basaltvane::Settings s;
+  s.router_count = 1;
+  s.zone = "here";
+  s.classes.resize(2);
+  s.classes[0].name = "ask";
+  s.classes[0].repeat = Repeat::kSafe;
+  s.classes[0].objective = milliseconds(1200);
+  s.classes[0].deadline = seconds(6);
+  s.classes[1] = s.classes[0];
+  s.classes[1].name = "command";
+  s.classes[1].repeat = Repeat::kUnsafe;
+  s.classes[1].deadline = seconds(3);
+  s.tenants = {{"acme", 1000}};
+  s.kinds = {{"reader", basaltvane::Role::kReader, 200000}, {"writer", basaltvane::Role::kWriter, 100000}};
+  s.may_cancel = s.retry_advice = true;
+  s.max_retry_in = milliseconds(500);
+  s.max_attempts = 4;
+  s.tick = milliseconds(4);
+  s.answer_slack = milliseconds(16);
+  s.drain_grace = milliseconds(250);
+  s.pin_limit = milliseconds(300);
+  s.connect_timeout = milliseconds(250);
+  s.idle_close = seconds(15);
+  s.cold_share = 0.3;
+  s.cold_time = seconds(14);
+  s.tip_multiple = 4;
+  s.tip_window = seconds(2);
+  return s;
+}
+
+void StandInReplica::on_request(SlotId client, http::Server::Request& request, core::Time) {
+  const auto text = [](const auto& view) { return std::string(view.data(), view.size()); };
+  seen.push_back({text(request.method_string()), text(request.target()),
+                  std::string(http::header(request, "X-Correlation-Id")), request.body()});
+  const Seen now = seen.back();
+  if (now.method == "DELETE") return server.answer(client, 204, {}, {});
+  waiting.push_back(client);
+  script_(*this, client, now);
+}
+
+void StandInReplica::stream(SlotId client, const std::vector<std::string>& words, bool last) {
+  server.begin(client);
+  for (const std::string& word : words) {
+    server.pass(client, "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + word +
+                            "\"},\"finish_reason\":null}]}\n\n");
+  }
+  if (!last) return;
+  server.pass(client,
+              "data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}]}\n\n"
+              "data: {\"choices\":[],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":2}}\n\n"
+              "data: [DONE]\n\n: X-Backend-Load: {\"x0\":0.25,\"x1\":1.5}\n\n");
+  server.end(client);
+}
+
+int StandInReplica::count(std::string_view method, std::string_view id) const {
+  return static_cast<int>(std::count_if(seen.begin(), seen.end(), [&](const Seen& s) {
+    return s.method == method && (id.empty() || s.id == id || s.target.ends_with(id));
+  }));
+}
+
+void StandInClient::post(const std::string& more, const std::string& text, const std::string& path) {
+  send("POST " + path + " HTTP/1.1\r\nHost: x\r\n" + more + "Content-Length: " + std::to_string(text.size()) +
+       "\r\n\r\n" + text);
+}
+
+void StandInClient::on_connected(SlotId, net::error_code error) {
+  if (error) return void(ended = true);
+  connected_ = true;
+  connection_->write(std::exchange(pending_, {}));
+  if (!held_back_) connection_->read();
+}
+
+void StandInClient::on_data(SlotId) {
+  const auto progress = reader_.read(connection_->input());
+  if (reader_.head_done()) {
+    status = static_cast<int>(reader_.message().result_int());
+    for (const auto& f : reader_.message()) headers[std::string(f.name_string())] = std::string(f.value());
+    body += reader_.take_body();
+  }
+  if (progress != http::Progress::kDone) return;
+  whole = true;
+  reader_.reset();
+}
+
+World::World(Script reader_script, Script writer_script, std::string chat_config)
+    : pool(io, deadlines, clock(), [this](std::string_view line) { logs.emplace_back(line); },
+           {settings.connect_timeout, settings.idle_close, milliseconds(100), 4, 8, 64}),
+      engine(settings, 7, pool, deadlines, clock(),
+             [this](std::string_view line) { logs.emplace_back(line); }),
+      platform(io, loopback(), engine, settings, deadlines, clock(), {}, {}) {
+  pool.attach(engine);
+  basaltvane::HostList list{basaltvane::ListKind::kFull, {}};
+  std::vector<replica::Address> addresses;
+  for (const std::string name : {"r1", "r2", "w1", "w2"}) {
+    const bool reads = name[0] == 'r';
+    replicas.push_back(std::make_unique<StandInReplica>(*this, reads ? reader_script : writer_script));
+    list.entries.push_back({name, "here", reads ? "reader" : "writer", 0, HostState::kReady, 1, {}});
+    addresses.push_back({name, replicas.back()->server.local(), true});
+  }
+  pool.hosts(addresses, true);
+  engine.hosts(list);
+  platform.server().accept();
+  if (chat_config.empty()) return;
+  chat = std::make_unique<chat::Front>(io, *chat::parse_config(chat_config, settings), engine, deadlines,
+                                       clock(), 7, http::ServerOptions{}, std::function<bool()>{});
+  chat->server().accept();
+}
+
+int World::total(std::string_view method, bool writers, std::string_view id) const {
+  const std::size_t first = writers ? 2 : 0;
+  return replicas[first]->count(method, id) + replicas[first + 1]->count(method, id);
+}
+
+std::string facts(const std::string& id, const std::string& cls, int left_ms) {
+  return "X-Correlation-Id: " + id + "\r\nX-Service-Class: " + cls +
+         "\r\nX-Account: acme\r\nX-Session-Key: 7f\r\nX-Time-Left-Ms: " + std::to_string(left_ms) +
+         "\r\nX-Facts: prefix=5c,prompt_len=1000,prefix_len=200,max_out=100\r\n";
+}
+
+void read_well(StandInReplica& replica, SlotId client, const StandInReplica::Seen&) {
+  replica.say(client, 202, R"({"cached_tokens":0})");
+}
+void write_well(StandInReplica& replica, SlotId client, const StandInReplica::Seen&) {
+  replica.stream(client, {"yes", "it"});
+}
+
+std::string chat_body(const std::string& model, bool stream, const std::string& text) {
+  return R"({"model":")" + model + R"(","stream":)" + (stream ? "true" : "false") +
+         R"(,"messages":[{"role":"system","content":"You help technicians."},{"role":"user","content":")" +
+         text + R"("}]})";
+}
+
+}  // namespace bitternferry::testing
--- /dev/null
+++ b/tests/dispatcher/world.hpp
@@ -0,0 +1,165 @@
+// Stand-in clients and replicas on ephemeral loopback ports, round the real core, pool and fronts. Time is
+// the test's own: it moves only when advance() says so, so no verdict hangs on how fast a machine is.
+#ifndef BITTERNFERRY_TESTS_DISPATCHER_WORLD_HPP_
+#define BITTERNFERRY_TESTS_DISPATCHER_WORLD_HPP_
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "chat/front.hpp"
+#include "core/engine.hpp"
+#include "http/message.hpp"
+#include "platform/front.hpp"
+#include "replica/pool.hpp"
+
+namespace bitternferry::testing {
+
+using net::SlotId;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+basaltvane::Settings make_settings();  // a safe class "ask", an unsafe one "command"; readers and writers
+
+inline net::tcp::endpoint loopback() { return {boost::asio::ip::address_v4::loopback(), 0}; }
+
+struct Clockwork {
+  boost::asio::io_context io{1};
+  core::Deadlines deadlines;
+  core::Time now = seconds(1'800'000'000);
+  core::Clock clock() {
+    return [this] { return now; };
+  }
+  // Runs what the sockets bring until the condition holds. The bound only ends a test that has failed.
+  template <class Condition>
+  bool until(Condition condition) {
+    for (int i = 0; i < 20000; ++i) {
+      deadlines.run(now);
+      io.restart();
+      const bool busy = io.poll() > 0;
+      if (condition()) return true;
+      if (!busy) std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+    return false;
+  }
+  // Lets time pass in the steps in which the router's ticks come.
+  void advance(core::Duration time) {
+    for (const core::Time end = now + time; now < end;) {
+      now = std::min<core::Time>(end, now + milliseconds(20));
+      deadlines.run(now);
+      settle();
+    }
+  }
+  void settle() {  // what is on its way over loopback arrives
+    for (int quiet = 0; quiet < 3;) {
+      io.restart();
+      quiet = io.poll() > 0 ? 0 : quiet + 1;
+      std::this_thread::sleep_for(std::chrono::microseconds(50));
+    }
+  }
+};
+
+// A replica that does as its script says and remembers what reached it.
+class StandInReplica : private http::Server::Handler {
+ public:
+  struct Seen {
+    std::string method, target, id, body;
+  };
+  using Script = std::function<void(StandInReplica&, SlotId, const Seen&)>;
+  StandInReplica(Clockwork& work, Script script)
+      : server(work.io, loopback(), *this, work.deadlines, work.clock(), {}, {}), script_(std::move(script)) {
+    server.accept();
+  }
+  void say(SlotId client, int status, std::string_view body = {}, bool never_ran = false) {
+    if (never_ran) return server.answer(client, status, "application/json", body, {{"X-Unprocessed", "1"}});
+    server.answer(client, status, "application/json", body);
+  }
+  // A stream's events with a word each; `last` ends it as replicas do.
+  void stream(SlotId client, const std::vector<std::string>& words, bool last = true);
+  int count(std::string_view method, std::string_view id = {}) const;
+
+  http::Server server;
+  std::vector<Seen> seen;
+  std::vector<SlotId> waiting, gone;
+
+ private:
+  void on_request(SlotId client, http::Server::Request& request, core::Time) override;
+  void on_gone(SlotId client) override { gone.push_back(client); }
+  void on_room(SlotId) override {}
+  std::string error_body(int, std::string_view) override { return {}; }
+  Script script_;
+};
+
+// A client that sends what it is told and keeps what comes back.
+class StandInClient : private net::Connection::Owner {
+ public:
+  StandInClient(Clockwork& work, const net::tcp::endpoint& to)
+      : connection_(net::Connection::connect(work.io, to, *this, {}, 1U << 22U, 1U << 20U)) {}
+  ~StandInClient() override { connection_->close(); }
+  void send(std::string text) { connected_ ? void(connection_->write(text)) : void(pending_ += text); }
+  void post(const std::string& more, const std::string& body,
+            const std::string& path = "/v1/chat/completions");
+  void get(const std::string& path, const std::string& more = {}) {
+    send("GET " + path + " HTTP/1.1\r\nHost: x\r\n" + more + "\r\n");
+  }
+  void close() { connection_->close(); }
+  void hold_back() { connection_->pause(), held_back_ = true; }
+
+  int status = 0;
+  std::string body;
+  std::map<std::string, std::string> headers;
+  bool whole = false, ended = false;  // the answer came to its end; the connection did
+  bool answered() const { return whole || ended; }
+
+ private:
+  void on_connected(SlotId, net::error_code error) override;
+  void on_data(SlotId) override;
+  void on_sent(SlotId) override {}
+  void on_ended(SlotId, net::error_code) override { ended = true; }
+  std::shared_ptr<net::Connection> connection_;
+  http::ResponseReader reader_{std::nullopt};
+  std::string pending_;
+  bool connected_ = false, held_back_ = false;
+};
+
+// Two readers and two writers, whatever they are scripted to do, and a dispatcher with both fronts.
+class World : public Clockwork {
+ public:
+  using Script = StandInReplica::Script;
+  World(Script reader, Script writer, std::string chat_config = {});
+  ~World() = default;
+  StandInReplica& reader(std::size_t i = 0) { return *replicas[i]; }
+  StandInReplica& writer(std::size_t i = 0) { return *replicas[2 + i]; }
+  int total(std::string_view method, bool writers, std::string_view id = {}) const;
+  std::unique_ptr<StandInClient> platform_client() { return client(platform.server().local()); }
+  std::unique_ptr<StandInClient> chat_client() { return client(chat->server().local()); }
+  std::unique_ptr<StandInClient> client(const net::tcp::endpoint& to) {
+    return std::make_unique<StandInClient>(*this, to);
+  }
+
+  std::vector<std::string> logs;
+  basaltvane::Settings settings = make_settings();
+  std::vector<std::unique_ptr<StandInReplica>> replicas;
+  replica::Pool pool;
+  core::Engine engine;
+  platform::Front platform;
+  std::unique_ptr<chat::Front> chat;
+};
+
+// The headers of a platform request.
+std::string facts(const std::string& id, const std::string& cls, int left_ms = 6000);
+// What a well-behaved reader and writer do.
+void read_well(StandInReplica& replica, SlotId client, const StandInReplica::Seen& seen);
+void write_well(StandInReplica& replica, SlotId client, const StandInReplica::Seen& seen);
+inline const std::string kChat = R"({"listen":"127.0.0.1:0","account":"acme",
+  "models":[{"id":"ask","class":"ask"},{"id":"command","class":"command"}]})";
+std::string chat_body(const std::string& model, bool stream, const std::string& text = "Is the boiler on?");
+
+}  // namespace bitternferry::testing
+
+#endif  // BITTERNFERRY_TESTS_DISPATCHER_WORLD_HPP_
