--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -11,10 +11,15 @@
 
 // New connections come for up to 0.4 s after SIGTERM; what comes more than 0.7 s after it may be lost.
 constexpr core::Duration kKeepAccepting = milliseconds(550);
+constexpr core::Duration kListenAgain = milliseconds(250);
 constexpr core::Duration kDrainLook = milliseconds(20);
 // One try of a lease call: several must fit into the pin limit.
 constexpr int kLeaseTries = 3;
 
+std::string text(const net::tcp::endpoint& at) {
+  return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
 replica::Options pool_options(const Config& config) {
   replica::Options options;
   options.connect_timeout = config.settings.connect_timeout;
@@ -37,7 +42,8 @@
 
 }  // namespace
 
-Dispatcher::Dispatcher(Loop& loop, const Config& config, const std::string& chat, core::Log log)
+Dispatcher::Dispatcher(Loop& loop, const Config& config, const std::string& chat, const std::string& vrrp,
+                       core::Log log)
     : loop_(loop),
       config_(config),
       log_(log),
@@ -50,11 +56,16 @@
       signals_(loop.io(), SIGTERM, SIGINT) {
   pool_.attach(engine_);
   engine_.on_subscribe([this] { watch_.restart(); });
-  if (chat.empty()) return;
-  if (const auto wanted = chat::parse_config(chat, config_.settings)) {
-    chat_.emplace(loop.io(), *wanted, engine_, loop.deadlines(), loop.clock(), config.seed,
+  const auto chat_config = chat.empty() ? std::nullopt : chat::parse_config(chat, config_.settings);
+  if (chat_config) {
+    chat_.emplace(loop.io(), *chat_config, engine_, loop.deadlines(), loop.clock(), config.seed,
                   server_options(config, 2), [this] { return pool_.shed(); });
   }
+  const auto pair = vrrp.empty() ? std::nullopt : vrrp::parse_config(vrrp);
+  if (!pair) return;
+  if (!chat_) throw ConfigError("vrrp: field 'listen': set, but the chat front that it is for is off");
+  vrrp_.emplace(loop.io(), *pair, loop.deadlines(), loop.clock(), log,
+                [this](vrrp::State state) { front_chat(state == vrrp::State::kActive); });
 }
 
 std::vector<http::Server*> Dispatcher::servers() {
@@ -70,10 +81,33 @@
   signals_.async_wait([this](boost::system::error_code error, int) {
     if (!error) drain();
   });
-  for (http::Server* server : servers()) server->accept();
-  log_("serving on " + config_.listen.address().to_string() + ":" + std::to_string(config_.listen.port()) +
-       " as " + config_.name +
-       (chat_ ? ", chat on port " + std::to_string(chat_->server().local().port()) : ""));
+  platform_.server().open();
+  if (vrrp_) {
+    vrrp_->start();  // which decides who of the pair listens at the chat address
+  } else if (chat_) {
+    chat_->server().open();
+  }
+  log_("serving on " + text(config_.listen) + " as " + config_.name);
+  if (chat_ && !vrrp_) log_("chat front on " + text(chat_->server().local()));
+}
+
+// The other of the pair may still be closing its listener at the shared address: tried until it is free.
+void Dispatcher::front_chat(bool active) {
+  fronting_ = active && !draining_;
+  if (!fronting_) {
+    chat_->server().stop_accepting();  // what was taken is still answered
+    chat_->server().close_idle();
+    return;
+  }
+  try {
+    chat_->server().open();
+    log_("chat front on " + text(chat_->server().local()));
+  } catch (const std::exception& e) {
+    log_(std::string("chat front can't listen yet: ") + e.what());
+    loop_.deadlines().add(loop_.now() + kListenAgain, [this] {
+      if (fronting_) front_chat(true);
+    });
+  }
 }
 
 void Dispatcher::apply(const discovery::Servers& servers) {
@@ -86,6 +120,7 @@
   draining_ = true;
   log_("draining: " + std::to_string(engine_.unanswered()) + " requests unanswered");
   for (http::Server* server : servers()) server->drain();
+  if (vrrp_) vrrp_->stop();  // the other of the pair takes over at once
   loop_.deadlines().add(loop_.now() + kKeepAccepting, [this] {
     for (http::Server* server : servers()) {
       server->stop_accepting();
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -14,18 +14,21 @@
 #include "discovery/watch.hpp"
 #include "platform/front.hpp"
 #include "replica/pool.hpp"
+#include "vrrp/speaker.hpp"
 
 namespace bitternferry::app {
 
 class Dispatcher {
  public:
-  // `chat`: the text of the chat front's file, empty where there is none. Throws where it is bad.
-  Dispatcher(Loop& loop, const Config& config, const std::string& chat, core::Log log);
+  // `chat`, `vrrp`: the texts of their files, empty where there is none. Throws where one is bad.
+  Dispatcher(Loop& loop, const Config& config, const std::string& chat, const std::string& vrrp,
+             core::Log log);
   void start();
   void drain();  // as SIGTERM asks: takes what still comes for a while, finishes everything, ends the loop
 
  private:
   void apply(const discovery::Servers& servers);
+  void front_chat(bool active);
   void finish_draining();
   std::vector<http::Server*> servers();
 
@@ -37,6 +40,8 @@
   platform::Front platform_;
   std::optional<chat::Front> chat_;
   discovery::Watch watch_;
+  std::optional<vrrp::Speaker> vrrp_;
+  bool fronting_ = false;  // this instance of the pair answers at the chat address
   boost::asio::signal_set signals_;
   bool draining_ = false;
 };
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -26,24 +26,25 @@
   return named || std::filesystem::exists(path) ? app::read_file(path) : std::string();
 }
 
-int serve(const std::string& chat) {
+int serve(const std::string& chat, const std::string& vrrp) {
   const app::Config config = app::load_config(app::read_environment());
   app::Loop loop;
-  app::Dispatcher dispatcher(loop, config, chat,
+  app::Dispatcher dispatcher(loop, config, chat, vrrp,
                              [&loop](std::string_view text) { log_line(loop.now(), text); });
   dispatcher.start();
   loop.run();
   return 0;
 }
 
-int check_config(const std::string& path, const std::string& chat) {
+int check_config(const std::string& path, const std::string& chat, const std::string& vrrp) {
   app::Environment environment = app::read_environment();
   if (!path.empty()) environment["PROXY_CONFIG"] = path;
   const app::Config config = app::load_config(environment);
   const bool chats = !chat.empty() && chat::parse_config(chat, config.settings).has_value();
+  const bool paired = !vrrp.empty() && vrrp::parse_config(vrrp).has_value();
   std::cout << "ok: " << config.name << ", " << config.settings.classes.size() << " classes, "
             << config.known.list.entries.size() << " replicas known, chat front " << (chats ? "on" : "off")
-            << "\n";
+            << ", VRRP " << (paired ? "on" : "off") << "\n";
   return 0;
 }
 
@@ -61,6 +62,8 @@
   std::string chat = "deploy/chat.json";
   const auto* chat_option =
       cli.add_option("--chat", chat, "the chat front's file")->envname("BITTERNFERRY_CHAT");
+  std::string vrrp = "deploy/vrrp.json";
+  const auto* vrrp_option = cli.add_option("--vrrp", vrrp, "VRRP's file")->envname("BITTERNFERRY_VRRP");
   CLI11_PARSE(cli, argc, argv);
   try {
     if (*version) {
@@ -68,7 +71,8 @@
       return 0;
     }
     const std::string chat_text = read_optional(chat, chat_option->count() > 0);
-    return *check ? check_config(path, chat_text) : serve(chat_text);
+    const std::string vrrp_text = read_optional(vrrp, vrrp_option->count() > 0);
+    return *check ? check_config(path, chat_text, vrrp_text) : serve(chat_text, vrrp_text);
   } catch (const std::exception& e) {
     std::cerr << "bitternferry: " << e.what() << "\n";
     return 1;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -27,20 +27,21 @@
   explicit Reader(std::optional<std::size_t> most_body) : most_body_(most_body) { reset(); }
 
   void reset() {
-    parser_.emplace();
-    parser_->header_limit(kMostHead);
-    if (most_body_) {
-      parser_->body_limit(*most_body_);
-    } else {
-      parser_->body_limit(boost::none);
-    }
-    parser_->eager(true);
+    started_ = false;
+    make_parser();
   }
-  // Takes as much as belongs to this message. What follows its end stays in the buffer.
+  // Takes as much as belongs to this message. What follows its end stays in the buffer. A head is parsed
+  // from its start each time more of it comes: Beast's parser, once told to wait, looks for nothing but the
+  // head's end, and a malformed one would be refused or not by how it was cut on the way.
   Progress read(net::RingBuffer& input) {
+    started_ = started_ || !input.empty();
     while (!parser_->is_done() && !input.empty()) {
       error_.clear();
       const std::size_t used = parser_->put(input.data(), error_);
+      if (error_ == beast_http::error::need_more && !parser_->is_header_done()) {
+        make_parser();
+        return Progress::kMore;
+      }
       input.consume(used);
       if (error_ == beast_http::error::need_more) return Progress::kMore;
       if (error_) return Progress::kBad;
@@ -51,12 +52,12 @@
   // The connection's end: that of a body with neither length nor chunks, else of a message cut short.
   Progress end() {
     error_.clear();
-    if (!parser_->got_some()) return Progress::kBad;
+    if (!parser_->is_header_done()) return Progress::kBad;
     parser_->put_eof(error_);
     return !error_ && parser_->is_done() ? Progress::kDone : Progress::kBad;
   }
   bool head_done() const { return parser_->is_header_done(); }
-  bool started() const { return parser_->got_some(); }
+  bool started() const { return started_; }
   bool keep_alive() const { return parser_->keep_alive(); }
   const boost::system::error_code& error() const { return error_; }
   Message& message() { return parser_->get(); }
@@ -68,7 +69,19 @@
   }
 
  private:
+  void make_parser() {
+    parser_.emplace();
+    parser_->header_limit(kMostHead);
+    if (most_body_) {
+      parser_->body_limit(*most_body_);
+    } else {
+      parser_->body_limit(boost::none);
+    }
+    parser_->eager(true);
+  }
+
   std::optional<std::size_t> most_body_;
+  bool started_ = false;
   std::optional<beast_http::parser<kRequest, beast_http::string_body>> parser_;
   boost::system::error_code error_;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -80,7 +80,7 @@
   deadlines_.drop(client->limit);
   client->connection->close();
   clients_.erase(id);
-  if (clients_.size() < options_.most_clients && listener_.open()) listener_.accept();
+  if (clients_.size() < options_.most_clients && listener_.is_open()) listener_.accept();
 }
 
 void Server::close_idle() {
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -56,7 +56,12 @@
   void drain() { draining_ = true; }
   void stop_accepting() { listener_.close(); }
   void close_idle();
-  void accept() { listener_.accept(); }
+  // Listens and accepts; throws where the address can't be had. May follow stop_accepting().
+  void open() {
+    listener_.open();
+    listener_.accept();
+  }
+  bool is_open() const { return listener_.is_open(); }
   bool draining() const { return draining_; }
   std::size_t clients() const { return clients_.size(); }
   net::tcp::endpoint local() const { return listener_.local(); }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -118,11 +118,16 @@
 }
 
 Listener::Listener(asio::io_context& io, const tcp::endpoint& at, Owner& owner)
-    : acceptor_(io), owner_(owner) {
-  acceptor_.open(at.protocol());
-  acceptor_.set_option(tcp::acceptor::reuse_address(true));
-  acceptor_.bind(at);
-  acceptor_.listen(asio::socket_base::max_listen_connections);
+    : at_(at), acceptor_(io), owner_(owner) {}
+
+void Listener::open() {
+  if (acceptor_.is_open()) return;
+  tcp::acceptor acceptor(acceptor_.get_executor());
+  acceptor.open(at_.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.bind(at_);
+  acceptor.listen(asio::socket_base::max_listen_connections);
+  acceptor_ = std::move(acceptor);
 }
 
 void Listener::accept() {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -69,13 +69,15 @@
     virtual void on_accept_failed(error_code error) = 0;  // accepting rests until accept() is called
   };
   Listener(boost::asio::io_context& io, const tcp::endpoint& at, Owner& owner);
+  void open();  // throws boost::system::system_error, with the address in use for one
   void accept();
   void rest() { wanted_ = false; }
   void close();
-  bool open() const { return acceptor_.is_open(); }
+  bool is_open() const { return acceptor_.is_open(); }
   tcp::endpoint local() const { return acceptor_.local_endpoint(); }
 
  private:
+  tcp::endpoint at_;
   tcp::acceptor acceptor_;
   Owner& owner_;
   bool wanted_ = false, accepting_ = false;
--- /dev/null
+++ b/tests/dispatcher/engine_test.cpp
@@ -0,0 +1,200 @@
+// The core alone: no sockets, a passed-in clock, and an upstream and a front that only write down.
+#include <algorithm>
+
+#include "world.hpp"
+
+namespace bitternferry::testing {
+namespace {
+
+using basaltvane::Verdict;
+
+struct Rig : core::Upstream, core::Answerer {
+  Rig()
+      : engine(
+            make_settings(), 1, *this, deadlines, [this] { return now; }, [](std::string_view) {}) {
+    basaltvane::HostList list{basaltvane::ListKind::kFull, {}};
+    for (const std::string host : {"r1", "r2", "w1", "w2"})
+      list.entries.push_back(
+          {host, "here", host[0] == 'r' ? "reader" : "writer", 0, basaltvane::HostState::kReady, 1, {}});
+    engine.hosts(list);
+  }
+  net::SlotId submit(const std::string& id, const std::string& cls = "command") {
+    auto message = std::make_shared<core::Message>();
+    message->id = id;
+    basaltvane::Request r;
+    r.id = id;
+    r.request_class = cls;
+    r.prompt_tokens = 1000;
+    r.client_deadline = now + seconds(3);
+    return engine.submit(*this, {1, 1}, r, message);
+  }
+  void advance(core::Duration time) {
+    for (const core::Time end = now + time; now < end;) {
+      now += milliseconds(5);
+      deadlines.run(now);
+    }
+  }
+  void read(int attempt) { engine.ended(sent[static_cast<std::size_t>(attempt)], {Verdict::kRead, 0, {}}); }
+
+  void send(core::AttemptId attempt, const std::string& host, std::shared_ptr<const core::Message>,
+            core::Time) override {
+    sent.push_back(attempt);
+    story.push_back("send " + host.substr(0, 1));
+  }
+  bool abandon(core::AttemptId) override {
+    story.push_back("abandon");
+    return delivered;
+  }
+  void pause(core::AttemptId) override { story.push_back("pause"); }
+  void resume(core::AttemptId) override { story.push_back("resume"); }
+  void hold(core::AttemptId, const std::string&, const std::string&) override {}
+  void release(const std::string&) override { story.push_back("release"); }
+  void drop_release(const std::string&) override {}
+  void begin(SlotId) override { story.push_back("begin"); }
+  bool pass(SlotId, std::string_view) override { return takes_more; }
+  void finish(SlotId) override { story.push_back("finish"); }
+  void cut(SlotId) override { story.push_back("cut"); }
+  void refuse(SlotId, std::optional<core::Duration> retry_in) override {
+    story.push_back(retry_in ? "refuse with advice" : "refuse");
+  }
+  void fail(SlotId, core::Failure why) override {
+    story.push_back(why == core::Failure::kTooLate ? "fail late" : "fail");
+  }
+  using Story = std::vector<std::string>;
+  core::Time now = seconds(1'800'000'000);
+  core::Deadlines deadlines;
+  bool delivered = true, takes_more = true;
+  std::vector<core::AttemptId> sent;
+  Story story;
+  core::Engine engine;
+};
+
+TEST_CASE("a request is read, written, streamed and forgotten", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.read(0);
+  rig.engine.events(rig.sent[1], "data: x\n\n");
+  rig.engine.ended(rig.sent[1], {Verdict::kServed, 0, {}});
+  CHECK(rig.story == Rig::Story{"send r", "send w", "begin", "finish"});
+  CHECK(rig.engine.open() == 0);
+}
+
+// A read may have ended well just as it was cut off: its state would stay pinned for ever.
+TEST_CASE("what a cancelled read may have left is let go of within the pin limit", "[core]") {
+  Rig rig;
+  const auto id = rig.submit("a");
+  rig.engine.client_gone(id);
+  CHECK(rig.story == Rig::Story{"send r", "abandon"});
+  rig.advance(milliseconds(100));
+  CHECK(rig.story == Rig::Story{"send r", "abandon", "release"});
+  CHECK(rig.engine.open() == 0);
+}
+
+// The call frees all states of a request, wherever they are: also one that a newer read has just left.
+TEST_CASE("a newer attempt is not robbed of its state", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.engine.ended(rig.sent[0], {Verdict::kReset, 0, {}});
+  CHECK(rig.story == Rig::Story{"send r", "send r"});
+  rig.advance(milliseconds(300));
+  rig.read(1);
+  rig.advance(milliseconds(300));
+  CHECK(rig.story == Rig::Story{"send r", "send r", "send w"});
+}
+
+TEST_CASE("a client that leaves while its state waits at the writer has it let go of once", "[core]") {
+  Rig rig;
+  const auto id = rig.submit("a");
+  rig.read(0);
+  rig.engine.client_gone(id);
+  rig.advance(milliseconds(400));
+  CHECK(rig.story == Rig::Story{"send r", "send w", "abandon", "release"});
+  CHECK(rig.engine.open() == 0);
+}
+
+TEST_CASE("a client that leaves its stream stops the work at once", "[core]") {
+  Rig rig;
+  const auto id = rig.submit("a");
+  rig.read(0);
+  rig.engine.events(rig.sent[1], "data: x\n\n");
+  rig.engine.client_gone(id);
+  CHECK(rig.story == Rig::Story{"send r", "send w", "begin", "abandon"});
+  CHECK(rig.engine.open() == 0);
+}
+
+// A vanished machine says nothing and its connections stay open; its client must not wait for 5 s.
+TEST_CASE("a silent stream is cut in time, one that speaks never", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.read(0);
+  for (int i = 0; i < 10; ++i) {
+    rig.engine.events(rig.sent[1], "data: x\n\n");
+    rig.advance(seconds(4));
+  }
+  CHECK(rig.story == Rig::Story{"send r", "send w", "begin"});
+  rig.advance(milliseconds(900));
+  CHECK(rig.story == Rig::Story{"send r", "send w", "begin", "abandon", "cut"});
+}
+
+TEST_CASE("a client that is slow to take its stream holds the replica back and is not cut for it", "[core]") {
+  Rig rig;
+  const auto id = rig.submit("a");
+  rig.read(0);
+  rig.takes_more = false;
+  rig.engine.events(rig.sent[1], "data: x\n\n");
+  rig.advance(seconds(10));
+  rig.engine.resume(id);
+  CHECK(rig.story == Rig::Story{"send r", "send w", "begin", "pause", "resume"});
+  rig.advance(seconds(5));
+  CHECK(rig.story.back() == "cut");  // from then on it is the replica that is silent
+}
+
+TEST_CASE("a command whose writer never answers fails at its deadline and is sent once", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.read(0);
+  rig.advance(seconds(3));
+  CHECK(rig.story == Rig::Story{"send r", "send w", "abandon", "release", "fail late"});
+}
+
+// What was never written whole can't have run, so its client may safely ask again.
+TEST_CASE("a command that never reached its writer whole is refused, with advice", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.read(0);
+  rig.delivered = false;
+  rig.advance(seconds(3));
+  CHECK(rig.story.back() == "refuse with advice");
+}
+
+TEST_CASE("a command whose stream breaks is cut and not sent again", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.read(0);
+  rig.engine.events(rig.sent[1], "data: x\n\n");
+  rig.engine.ended(rig.sent[1], {Verdict::kReset, 0, {}});
+  rig.advance(seconds(4));
+  CHECK(rig.story == Rig::Story{"send r", "send w", "begin", "cut"});
+}
+
+TEST_CASE("a stream without one event is no answer to a command, and no second send", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.read(0);
+  rig.engine.ended(rig.sent[1], {Verdict::kServed, 0, {}});
+  rig.advance(seconds(4));
+  CHECK(rig.story == Rig::Story{"send r", "send w", "release", "fail"});
+}
+
+TEST_CASE("outcomes of attempts that are over change nothing", "[core]") {
+  Rig rig;
+  rig.submit("a");
+  rig.read(0);
+  rig.read(0);
+  rig.engine.events({{9, 9}, 0}, "data: x\n\n");
+  rig.engine.ended({rig.sent[0].request, 7}, {Verdict::kServed, 0, {}});
+  CHECK(rig.story == Rig::Story{"send r", "send w"});
+}
+
+}  // namespace
+}  // namespace bitternferry::testing
--- /dev/null
+++ b/tests/dispatcher/platform_test.cpp
@@ -0,0 +1,203 @@
+// The platform's front and the pool of replica connections on loopback.
+#include "world.hpp"
+
+namespace bitternferry::testing {
+namespace {
+
+const std::string kBody = R"({"model":"chat","messages":[]})";
+const auto silent = [](StandInReplica&, SlotId, const StandInReplica::Seen&) {};
+
+TEST_CASE("a stream passes through unchanged and the connection lives on", "[platform]") {
+  const std::string events = "data: {\"odd\":  1}\r\n\r\n: note\n\nevent: x\ndata: y\n\ndata: [DONE]\n\n";
+  World world(read_well, [&](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.server.begin(client);
+    for (const char c : events) r.server.pass(client, std::string(1, c));
+    r.server.end(client);
+  });
+  auto client = world.platform_client();
+  for (const std::string id : {"a1", "a2"}) {
+    client->whole = false, client->body.clear();
+    client->post(facts(id, "ask"), kBody, "/v1/chat/completions?x=1");
+    REQUIRE(world.until([&] { return client->answered(); }));
+    CHECK(client->whole);
+    CHECK(client->body == events);
+    CHECK(world.total("POST", true, id) == 1);
+  }
+  const auto& seen = world.replicas[2]->seen.empty() ? world.writer(1).seen[0] : world.writer(0).seen[0];
+  CHECK(seen.target == "/v1/chat/completions?x=1");
+  CHECK(seen.body == kBody);
+}
+
+TEST_CASE("what is not a request is answered and reaches no replica", "[platform]") {
+  World world(read_well, write_well);
+  const auto status = [&](const std::string& bytes) {
+    auto client = world.platform_client();
+    client->send(bytes);
+    CHECK(world.until([&] { return client->answered(); }));
+    return client->status;
+  };
+  CHECK(status("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n") == 200);
+  CHECK(status("GET /nowhere HTTP/1.1\r\nHost: x\r\n\r\n") == 404);
+  CHECK(status("GET /v1/chat/completions HTTP/1.1\r\nHost: x\r\n\r\n") == 405);
+  CHECK(status("POST /healthz HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n") == 405);
+  CHECK(status("complete nonsense\r\n\r\n") == 400);
+  CHECK(status("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 262145\r\n\r\n") == 413);
+  CHECK(status("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 0\r\n\r\n") == 400);
+  CHECK(world.total("POST", false) == 0);
+}
+
+TEST_CASE("many requests on one connection are answered in turn", "[platform]") {
+  World world(read_well, write_well);
+  auto client = world.platform_client();
+  std::string all;
+  for (int i = 0; i < 2000; ++i)
+    all += "GET /healthz HTTP/1.1\r\n\r\n";  // enough to end a stack that nests them
+  client->send(all + "GET /last HTTP/1.1\r\n\r\n");
+  CHECK(world.until([&] { return client->status == 404; }));
+}
+
+TEST_CASE("a broken stream ends the client's connection without the last chunk", "[platform]") {
+  World world(read_well, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.stream(client, {"half"}, false);
+    r.server.cut(client);
+  });
+  auto client = world.platform_client();
+  client->post(facts("a1", "ask"), kBody);
+  REQUIRE(world.until([&] { return client->answered(); }));
+  CHECK(client->ended);
+  CHECK_FALSE(client->whole);
+  CHECK(client->body.find("half") != std::string::npos);
+  CHECK(world.total("POST", true) == 1);  // after a first token nothing is sent again
+}
+
+TEST_CASE("a client that closes stops its stream at the replica", "[platform]") {
+  World world(read_well, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.stream(client, {"on and on"}, false);
+  });
+  auto client = world.platform_client();
+  client->post(facts("a1", "command"), kBody);
+  REQUIRE(world.until([&] { return !client->body.empty(); }));
+  client->close();
+  CHECK(world.until([&] { return world.writer(0).gone.size() + world.writer(1).gone.size() == 1; }));
+  CHECK(world.engine.open() == 0);
+}
+
+TEST_CASE("a request that the module gives up on is refused at once, with Retry-After", "[platform]") {
+  World world(read_well, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.say(client, 503, {}, true);
+  });
+  auto client = world.platform_client();
+  const auto begun = world.now;
+  client->post(facts("a1", "command"), kBody);
+  for (int i = 0; i < 40 && !client->answered(); ++i) world.advance(milliseconds(20));
+  CHECK(client->status == 503);
+  CHECK(client->headers["Retry-After"] == "0.500");
+  CHECK(world.now - begun < milliseconds(500));
+}
+
+TEST_CASE("an id in progress is not taken twice", "[platform]") {
+  World world(silent, silent);
+  auto first = world.platform_client(), second = world.platform_client();
+  first->post(facts("a1", "ask"), kBody);
+  REQUIRE(world.until([&] { return world.total("POST", false) == 1; }));
+  second->post(facts("a1", "ask"), kBody);
+  REQUIRE(world.until([&] { return second->whole; }));
+  CHECK(second->status == 409);
+}
+
+TEST_CASE("while draining, what comes is served and its connection closed", "[platform]") {
+  World world(read_well, write_well);
+  auto idle = world.platform_client(), client = world.platform_client();
+  idle->get("/healthz");
+  REQUIRE(world.until([&] { return idle->whole; }));
+  world.platform.server().drain();
+  client->post(facts("a1", "ask"), kBody);
+  REQUIRE(world.until([&] { return client->whole; }));
+  CHECK(client->status == 200);
+  CHECK(client->headers["Connection"] == "close");
+  CHECK(world.until([&] { return client->ended; }));
+  CHECK_FALSE(idle->ended);
+  world.platform.server().close_idle();
+  CHECK(world.until([&] { return idle->ended; }));
+}
+
+TEST_CASE("a request that does not come whole in time is ended", "[platform]") {
+  World world(read_well, write_well);
+  auto client = world.platform_client();
+  client->send("POST /v1/chat/completions HTTP/1.1\r\nContent-Le");
+  world.settle();
+  world.advance(seconds(1));
+  world.now += seconds(21);
+  REQUIRE(world.until([&] { return client->answered(); }));
+  CHECK(client->status == 408);
+}
+
+// ---- the pool ----
+
+// Writing to a connection that the replica has closed would end as a reset, which a command can't survive.
+TEST_CASE("a pooled connection is checked for its end before use", "[pool]") {
+  World world(read_well, write_well);
+  auto client = world.platform_client();
+  for (int i = 0; i < 6; ++i) {
+    client->whole = false;
+    client->post(facts("a" + std::to_string(i), "command"), kBody);
+    REQUIRE(world.until([&] { return client->whole; }));
+    CHECK(client->status == 200);
+    for (auto& r : world.replicas) r->server.close_idle();
+  }
+  CHECK(world.total("POST", true) == 6);
+}
+
+TEST_CASE("idle connections are kept, and retired well before the replica closes them", "[pool]") {
+  World world(read_well, write_well);
+  auto client = world.platform_client();
+  client->post(facts("a1", "command"), kBody);
+  REQUIRE(world.until([&] { return client->whole; }));
+  CHECK(world.pool.open() == 2);
+  world.now += seconds(8);
+  world.settle();
+  world.deadlines.run(world.now);
+  CHECK(world.pool.open() == 2);
+  world.now += seconds(2);
+  world.deadlines.run(world.now);
+  CHECK(world.pool.open() == 0);
+}
+
+TEST_CASE("a command whose writers refuse connections never ran, and is refused", "[pool]") {
+  World world(read_well, write_well);
+  for (std::size_t i : {0U, 1U}) world.writer(i).server.stop_accepting();
+  auto client = world.platform_client();
+  client->post(facts("a1", "command"), kBody);
+  for (int i = 0; i < 150 && !client->answered(); ++i) world.advance(milliseconds(20));
+  CHECK(client->status == 503);
+  CHECK(world.until([&] { return world.total("DELETE", false) == 1; }));  // what was read is let go
+}
+
+// A replica that vanished says nothing: the call must reach one that runs while the pin limit runs on.
+TEST_CASE("a release goes on to the next replica until one takes it", "[pool]") {
+  World world(silent, write_well);
+  auto client = world.platform_client();
+  client->post(facts("a1", "ask"), kBody);
+  REQUIRE(world.until([&] { return world.total("POST", false) == 1; }));
+  for (std::size_t i : {0U, 1U, 2U}) world.replicas[i]->server.stop_accepting();
+  client->close();
+  world.settle();
+  world.advance(milliseconds(400));
+  CHECK(world.until([&] { return world.writer(1).count("DELETE", "a1") == 1; }));
+  CHECK(world.until([&] { return world.pool.leases_out() == 0; }));
+}
+
+TEST_CASE("out of connections, the oldest idle one makes room", "[pool]") {
+  World world(read_well, write_well);
+  auto client = world.platform_client();
+  client->post(facts("a1", "ask"), kBody);
+  REQUIRE(world.until([&] { return client->whole; }));
+  CHECK(world.pool.open() == 2);
+  CHECK(world.pool.shed());
+  CHECK(world.pool.shed());
+  CHECK_FALSE(world.pool.shed());
+  CHECK(world.pool.open() == 0);
+}
+
+}  // namespace
+}  // namespace bitternferry::testing
--- a/tests/dispatcher/world.cpp
+++ b/tests/dispatcher/world.cpp
@@ -81,15 +81,17 @@
 }
 
 void StandInClient::on_data(SlotId) {
-  const auto progress = reader_.read(connection_->input());
-  if (reader_.head_done()) {
-    status = static_cast<int>(reader_.message().result_int());
-    for (const auto& f : reader_.message()) headers[std::string(f.name_string())] = std::string(f.value());
-    body += reader_.take_body();
+  while (!connection_->input().empty()) {
+    const auto progress = reader_.read(connection_->input());
+    if (reader_.head_done()) {
+      status = static_cast<int>(reader_.message().result_int());
+      for (const auto& f : reader_.message()) headers[std::string(f.name_string())] = std::string(f.value());
+      body += reader_.take_body();
+    }
+    if (progress != http::Progress::kDone) return;
+    whole = true;
+    reader_.reset();
   }
-  if (progress != http::Progress::kDone) return;
-  whole = true;
-  reader_.reset();
 }
 
 World::World(Script reader_script, Script writer_script, std::string chat_config)
@@ -109,11 +111,11 @@
   }
   pool.hosts(addresses, true);
   engine.hosts(list);
-  platform.server().accept();
+  platform.server().open();
   if (chat_config.empty()) return;
   chat = std::make_unique<chat::Front>(io, *chat::parse_config(chat_config, settings), engine, deadlines,
                                        clock(), 7, http::ServerOptions{}, std::function<bool()>{});
-  chat->server().accept();
+  chat->server().open();
 }
 
 int World::total(std::string_view method, bool writers, std::string_view id) const {
--- a/tests/dispatcher/world.hpp
+++ b/tests/dispatcher/world.hpp
@@ -73,7 +73,7 @@
   using Script = std::function<void(StandInReplica&, SlotId, const Seen&)>;
   StandInReplica(Clockwork& work, Script script)
       : server(work.io, loopback(), *this, work.deadlines, work.clock(), {}, {}), script_(std::move(script)) {
-    server.accept();
+    server.open();
   }
   void say(SlotId client, int status, std::string_view body = {}, bool never_ran = false) {
     if (never_ran) return server.answer(client, status, "application/json", body, {{"X-Unprocessed", "1"}});
