--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -28,7 +28,7 @@
       std::max<core::Duration>(milliseconds(20), config.settings.pin_limit / kLeaseTries);
   // Sixty-four descriptors stay for all that is neither a client nor a replica.
   const std::size_t usable = config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
-  options.most_open = std::min<std::size_t>(options.most_open, usable * 2 / 5);
+  options.most_open = std::min<std::size_t>(options.most_open, usable * 46 / 100);
   options.most_idle_all = std::min(options.most_idle_all, options.most_open / 2);
   return options;
 }
@@ -36,7 +36,7 @@
 http::ServerOptions server_options(const Config& config, std::size_t fronts) {
   http::ServerOptions options;
   const std::size_t usable = config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
-  options.most_clients = std::min<std::size_t>(options.most_clients, usable * 3 / 5) / fronts;
+  options.most_clients = std::min<std::size_t>(options.most_clients, usable * 54 / 100) / fronts;
   return options;
 }
 
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -25,6 +25,7 @@
              core::Log log);
   void start();
   void drain();  // as SIGTERM asks: takes what still comes for a while, finishes everything, ends the loop
+  net::tcp::endpoint address() { return platform_.server().local(); }
 
  private:
   void apply(const discovery::Servers& servers);
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -48,6 +48,22 @@
   return 0;
 }
 
+int show_config(const std::string& path) {
+  app::Environment environment = app::read_environment();
+  if (!path.empty()) environment["PROXY_CONFIG"] = path;
+  const app::Config config = app::load_config(environment);
+  const auto ms = [](core::Duration d) { return std::to_string(d.count() / 1000) + " ms"; };
+  std::cout << "name " << config.name << "\nlisten " << config.listen << "\ndiscovery " << config.discovery
+            << "\nsockets " << config.sockets << "\nmemory_mb " << config.memory_mb << "\nconnect timeout "
+            << ms(config.settings.connect_timeout) << "\nidle close " << ms(config.settings.idle_close)
+            << "\npin limit " << ms(config.settings.pin_limit) << "\n";
+  for (const auto& c : config.settings.classes)
+    std::cout << "class " << c.name << ": aim " << ms(c.objective) << ", deadline " << ms(c.deadline) << "\n";
+  for (const auto& a : config.known.addresses)
+    std::cout << "replica " << a.host << " at " << a.endpoint << (a.ready ? ": up" : ": not up") << "\n";
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -59,6 +75,8 @@
       cli.add_subcommand("check-config", "read the configuration, say what is wrong with it, and end");
   std::string path;
   check->add_option("file", path, "the file to read in place of PROXY_CONFIG");
+  auto* show = cli.add_subcommand("show-config", "print what the configuration is understood to say");
+  show->add_option("file", path, "the file to read in place of PROXY_CONFIG");
   std::string chat = "deploy/chat.json";
   const auto* chat_option =
       cli.add_option("--chat", chat, "the chat front's file")->envname("BITTERNFERRY_CHAT");
@@ -70,6 +88,7 @@
       std::cout << kVersion << "\n";
       return 0;
     }
+    if (*show) return show_config(path);
     const std::string chat_text = read_optional(chat, chat_option->count() > 0);
     const std::string vrrp_text = read_optional(vrrp, vrrp_option->count() > 0);
     return *check ? check_config(path, chat_text, vrrp_text) : serve(chat_text, vrrp_text);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -29,9 +29,9 @@
   return text;
 }
 
-std::string stream_head(bool keep_alive) {
-  return head(200, keep_alive) +
-         "Content-Type: text/event-stream\r\nCache-Control: no-cache\r\nTransfer-Encoding: chunked\r\n\r\n";
+std::string stream_head(bool keep_alive, bool chunked) {
+  return head(200, keep_alive) + "Content-Type: text/event-stream\r\nCache-Control: no-cache\r\n" +
+         (chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
 }
 
 std::string chunk(std::string_view data) {
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -105,7 +105,7 @@
 std::string response(int status, std::string_view content_type, std::string_view body, bool keep_alive,
                      std::initializer_list<Header> more = {});
 // The head of an answer in chunks, a chunk, and the last one.
-std::string stream_head(bool keep_alive);
+std::string stream_head(bool keep_alive, bool chunked);
 std::string chunk(std::string_view data);
 inline constexpr std::string_view kLastChunk = "0\r\n\r\n";
 // A Retry-After value in seconds, with decimals where they are needed.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -120,7 +120,10 @@
     return;
   }
   client.state = State::kAnswering;
-  client.keep = progress == Progress::kDone && client.reader.keep_alive();
+  // The answer to a HEAD would have to lack its body; closing after it keeps the client in step.
+  client.keep = progress == Progress::kDone && client.reader.keep_alive() &&
+                client.reader.message().method() != beast_http::verb::head;
+  client.chunked = client.reader.message().version() >= 11;
   deadlines_.drop(client.limit);
   if (progress == Progress::kBad) return reject(id, client);
   handler_.on_request(id, client.reader.message(), client.arrived);
@@ -168,14 +171,14 @@
   Client* client = clients_.find(id);
   if (client == nullptr || client->state != State::kAnswering) return;
   client->streaming = true;
-  client->keep = client->keep && !draining_;
-  client->connection->write(stream_head(client->keep));
+  client->keep = client->keep && !draining_ && client->chunked;
+  client->connection->write(stream_head(client->keep, client->chunked));
 }
 
 bool Server::pass(SlotId id, std::string_view events) {
   Client* client = clients_.find(id);
   if (client == nullptr || !client->streaming) return true;
-  client->connection->write(chunk(events));
+  client->connection->write(client->chunked ? chunk(events) : std::string(events));
   if (client->connection->output().size() < kHigh) return true;
   client->waiting = true;
   wait(id, options_.stall);
@@ -185,7 +188,7 @@
 void Server::end(SlotId id) {
   Client* client = clients_.find(id);
   if (client == nullptr || client->state != State::kAnswering) return;
-  if (std::exchange(client->streaming, false)) client->connection->write(kLastChunk);
+  if (std::exchange(client->streaming, false) && client->chunked) client->connection->write(kLastChunk);
   client->waiting = false;
   client->told_continue = false;
   if (!client->keep) return cut(id);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -19,7 +19,7 @@
 using net::SlotId;
 
 struct ServerOptions {
-  std::size_t most_clients = 560;
+  std::size_t most_clients = 500;
   Duration idle = std::chrono::seconds(120);    // a connection between requests is closed after this
   Duration arrival = std::chrono::seconds(20);  // for a request to come whole
   Duration stall = std::chrono::seconds(20);    // for a client to take more of its stream
@@ -73,6 +73,7 @@
     RequestReader reader{kMostBody};
     State state = State::kReading;
     bool streaming = false, waiting = false, keep = true, told_continue = false;
+    bool chunked = true;  // HTTP/1.0 knows no chunks: there the connection's end is the stream's
     Time arrived{};
     core::Deadlines::Id limit;
   };
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -56,6 +56,8 @@
   }
   for (const Address& a : addresses) {
     Host& host = hosts_[a.host];
+    // Connections to where it listened before, or that it would rather see closed, serve no more.
+    if (host.known && (host.endpoint != a.endpoint || !a.ready)) drop_idle(host);
     host.known = true;
     host.endpoint = a.endpoint;
     if (host.ready && !a.ready) host.drained = clock_();
@@ -100,6 +102,10 @@
   return false;
 }
 
+void Pool::drop_idle(Host& host) {
+  while (!host.idle.empty()) drop(SlotId(host.idle.back()));
+}
+
 void Pool::start(SlotId id, Kind kind, std::string request) {
   Line& line = *lines_.find(id);
   line.kind = kind;
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -102,6 +102,7 @@
   core::Ending judge(Line& line);
   void park(SlotId id);
   void drop(SlotId id);
+  void drop_idle(Host& host);
   void try_release(const std::string& id);
   void fail_later(AttemptId attempt);
   basaltvane::LoadReport parse_report(std::string_view text);
--- /dev/null
+++ b/tests/run.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Builds and runs all tests, plain and under the sanitizers, and the package's consumer test.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+flags="-DBASALTVANE_TESTS=ON -DBASALTVANE_WERROR=ON"
+cmake -B build-ci -DCMAKE_BUILD_TYPE=Release $flags
+cmake --build build-ci -j"$(nproc)"
+bash tests/consumer/run.sh build-ci
+build-ci/bitternferry version
+# Lightly optimized: the sanitizers' checks in Boost's templates take minutes to optimize fully.
+cmake -B build-ci-san -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS=-O1 -DBASALTVANE_SANITIZE=ON $flags
+cmake --build build-ci-san -j"$(nproc)"
+ctest --test-dir build-ci-san --output-on-failure -j"$(nproc)"
+ctest --test-dir build-ci --output-on-failure -j"$(nproc)"
