--- a/src/chat/answer.cpp
+++ b/src/chat/answer.cpp
@@ -55,8 +55,10 @@
   if (const Json* reason = find(choice, "finish_reason", Json::value_t::string)) finish_reason_ = *reason;
   if (stream_) return;
   if (const Json* delta = find(choice, "delta", Json::value_t::object)) {
-    if (const Json* text = find(*delta, "content", Json::value_t::string))
-      message_["content"].get_ref<std::string&>() += text->get_ref<const std::string&>();
+    const Json* text = find(*delta, "content", Json::value_t::string);
+    if (text == nullptr) return;
+    message_["content"].get_ref<std::string&>() += text->get_ref<const std::string&>();
+    collected_ += text->get_ref<const std::string&>().size();
   }
 }
 
--- a/src/chat/answer.hpp
+++ b/src/chat/answer.hpp
@@ -23,8 +23,11 @@
   // The whole completion, for a client that does not stream.
   std::string completion() const;
   bool stream() const { return stream_; }
+  // More than any limit on tokens allows: a replica that does not stop must not fill the memory.
+  bool too_long() const { return collected_ > kMostCollected; }
 
  private:
+  static constexpr std::size_t kMostCollected = 4 * 1024 * 1024;
   std::string take_event(std::string_view event);
   void collect(const nlohmann::json& chunk);
   std::string translate(nlohmann::json chunk);
@@ -33,6 +36,7 @@
   std::int64_t created_;
   bool stream_, include_usage_;
   bool begun_ = false, done_ = false;
+  std::size_t collected_ = 0;
   http::EventFramer framer_;
   nlohmann::json message_, finish_reason_, usage_;
 };
--- a/src/chat/front.cpp
+++ b/src/chat/front.cpp
@@ -149,6 +149,12 @@
   const auto it = exchanges_.find(client);
   if (it == exchanges_.end()) return true;
   const std::string out = it->second.answer.take(events);
+  if (it->second.answer.too_long()) {
+    const bool repeatable = it->second.repeatable;
+    leave(client);
+    may_have_run(client, server_error(502, "the answer is too long", "answer_too_long"), repeatable);
+    return true;
+  }
   return out.empty() || server_.pass(client, out);
 }
 
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -29,7 +29,13 @@
     const SlotId id = engine_.submit(*this, client, request, std::move(message));
     if (engine_.waits(id)) requests_[client] = id;
   }
-  std::size_t waiting() const { return requests_.size(); }
+  // Drops the request of a client that has gone, or that was answered without the core.
+  void leave(SlotId client) {
+    const auto it = requests_.find(client);
+    const SlotId id = it == requests_.end() ? SlotId{} : it->second;
+    forget(client);
+    engine_.client_gone(id);
+  }
   // The client's request has its answer, or nobody waits for it any more.
   virtual void forget(SlotId client) { requests_.erase(client); }
 
@@ -37,12 +43,7 @@
   core::Engine& engine_;
 
  private:
-  void on_gone(SlotId client) override {
-    const auto it = requests_.find(client);
-    const SlotId id = it == requests_.end() ? SlotId{} : it->second;
-    forget(client);
-    engine_.client_gone(id);
-  }
+  void on_gone(SlotId client) override { leave(client); }
   void on_room(SlotId client) override {
     if (const auto it = requests_.find(client); it != requests_.end()) engine_.resume(it->second);
   }
--- a/tests/dispatcher/app_test.cpp
+++ b/tests/dispatcher/app_test.cpp
@@ -1,4 +1,6 @@
 // Discovery's watch, and a whole dispatcher from start to drain.
+#include <algorithm>
+
 #include "app/dispatcher.hpp"
 #include "world.hpp"
 
@@ -82,5 +84,30 @@
   CHECK(client.connection->input().size() > 0);
 }
 
+// Of a pair only the active instance listens at the chat address.
+TEST_CASE("VRRP decides who fronts the chat address", "[app][vrrp]") {
+  const int priority = GENERATE(255, 100);
+  app::Loop loop;
+  app::Config config;
+  config.listen = config.discovery = loopback();
+  config.discovery.port(1);
+  config.settings = make_settings();
+  std::vector<std::string> logs;
+  const std::string vrrp =
+      R"({"listen":"127.0.0.1:0","peers":["127.0.0.1:9"],"addresses":["127.0.0.1"],"priority":)" +
+      std::to_string(priority) + "}";
+  app::Dispatcher dispatcher(loop, config, kChat, vrrp,
+                             [&](std::string_view line) { logs.emplace_back(line); });
+  dispatcher.start();
+  const auto logged = [&](const std::string& start) {
+    return std::any_of(logs.begin(), logs.end(),
+                       [&](const std::string& line) { return line.starts_with(start); });
+  };
+  CHECK(logged(priority == 255 ? "vrrp: active" : "vrrp: backup"));
+  CHECK(logged("chat front on") == (priority == 255));
+  CHECK_THROWS_WITH(app::Dispatcher(loop, config, R"({"listen":null})", vrrp, [](std::string_view) {}),
+                    "vrrp: field 'listen': set, but the chat front that it is for is off");
+}
+
 }  // namespace
 }  // namespace bitternferry::testing
--- a/tests/dispatcher/chat_test.cpp
+++ b/tests/dispatcher/chat_test.cpp
@@ -180,6 +180,31 @@
   CHECK(client->status == 502);
 }
 
+// A replica that never stops must not fill the memory of a dispatcher that collects the whole.
+TEST_CASE("an answer without end is given up", "[chat]") {
+  World world(
+      read_well,
+      [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+        r.stream(client, {std::string(250'000, 'x')}, false);
+      },
+      kChat);
+  auto client = world.chat_client();
+  client->post(kJson, chat_body("command", false));
+  auto& writers = world.replicas;
+  for (int i = 0; i < 40 && !client->answered(); ++i) {
+    world.settle();
+    for (std::size_t w : {2U, 3U}) {
+      for (const SlotId to : writers[w]->waiting)
+        writers[w]->server.pass(
+            to, "data: {\"choices\":[{\"delta\":{\"content\":\"" + std::string(250'000, 'x') + "\"}}]}\n\n");
+    }
+  }
+  REQUIRE(world.until([&] { return client->whole; }));
+  CHECK(client->status == 502);
+  CHECK(client->body.find("answer_too_long") != std::string::npos);
+  CHECK(world.engine.open() == 0);
+}
+
 TEST_CASE("an ask always gets its final answer, whatever the replicas do", "[chat]") {
   const int trouble = GENERATE(0, 1, 2, 3, 4);
   const auto act = [trouble](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
--- a/tests/dispatcher/platform_test.cpp
+++ b/tests/dispatcher/platform_test.cpp
@@ -1,4 +1,9 @@
 // The platform's front and the pool of replica connections on loopback.
+#include <sys/resource.h>
+
+#include <algorithm>
+#include <filesystem>
+
 #include "world.hpp"
 
 namespace bitternferry::testing {
@@ -132,6 +137,39 @@
   CHECK(client->status == 408);
 }
 
+// Without a descriptor for it a client waits in the backlog; nobody else is disturbed, and it is served
+// later.
+TEST_CASE("running out of descriptors ends nothing", "[platform]") {
+  World world(read_well, write_well);
+  auto steady = world.platform_client();
+  steady->get("/healthz");
+  REQUIRE(world.until([&] { return steady->whole; }));
+  rlimit before{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &before) == 0);
+  const auto open = std::distance(std::filesystem::directory_iterator("/proc/self/fd"), {});
+  std::vector<std::unique_ptr<StandInClient>> crowd;
+  const rlimit few{static_cast<rlim_t>(open) + 5, before.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &few) == 0);
+  for (int i = 0; i < 12; ++i) {
+    crowd.push_back(world.platform_client());
+    crowd.back()->get("/healthz");
+  }
+  world.advance(milliseconds(100));
+  const auto served = [&] {
+    return std::count_if(crowd.begin(), crowd.end(), [](const auto& c) { return c->whole; });
+  };
+  CHECK(served() < 12);
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &before) == 0);
+  world.advance(milliseconds(100));
+  std::erase_if(crowd,
+                [](const auto& c) { return c->ended && !c->whole; });  // those without a socket of their own
+  CHECK(world.until([&] { return served() == static_cast<std::ptrdiff_t>(crowd.size()); }));
+  steady->whole = false;
+  steady->post(facts("a1", "command"), kBody);
+  REQUIRE(world.until([&] { return steady->answered(); }));
+  CHECK(steady->status == 200);
+}
+
 // ---- the pool ----
 
 // Writing to a connection that the replica has closed would end as a reset, which a command can't survive.
