Refuse at once a request with no attempts left for a read and a write

Seen: a loopback test with readers that always fail was not answered for the whole of its time. Route() in src/router.cpp found no reader once three of four attempts were spent (choose_reader wants two left) and only the tick tried again, until the deadline. Test in tests/dispatcher/engine_test.cpp.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -626,6 +626,13 @@
     }
     if (reader != nullptr)
       send(q, *reader, reader->role == Role::kReader ? Phase::kReading : Phase::kWriting);
+    else if (q.attempts + 2 > s_.max_attempts &&
+             !serves_whole())  // no read and write are left: nothing to wait for
+      give_up(q);
+  }
+  bool serves_whole() const {
+    return s_.writers_read || std::any_of(hosts_.begin(), hosts_.end(),
+                                          [](const auto& e) { return e.second.role == Role::kMixed; });
   }
 
   Duration lead() const { return 2 * std::max(kTickEvery, s_.tick); }
--- a/tests/dispatcher/engine_test.cpp
+++ b/tests/dispatcher/engine_test.cpp
@@ -186,6 +186,16 @@
   CHECK(rig.story == Rig::Story{"send r", "send w", "release", "fail"});
 }
 
+// Reads that failed had used up the attempts; the request was held to its deadline though nothing could serve
+// it.
+TEST_CASE("a request without attempts left for both stages is refused at once", "[core]") {
+  Rig rig;
+  rig.submit("a", "ask");
+  for (int i = 0; i < 3; ++i) rig.engine.ended(rig.sent.back(), {Verdict::kError, 0, {}});
+  CHECK(rig.story == Rig::Story{"send r", "send r", "send r", "refuse with advice"});
+  CHECK(rig.engine.open() == 0);
+}
+
 TEST_CASE("outcomes of attempts that are over change nothing", "[core]") {
   Rig rig;
   rig.submit("a");
