Give the platform's front all client connections while the chat front is off

Seen in review: src/app/dispatcher.cpp asked whether deploy/chat.json holds any text, not whether it names an address, so the shipped file halved the platform's clients (250 for 500). Now it asks for the parsed file.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -47,18 +47,18 @@
     : loop_(loop),
       config_(config),
       log_(log),
+      chat_config_(chat.empty() ? std::nullopt : chat::parse_config(chat, config_.settings)),
       pool_(loop.io(), loop.deadlines(), loop.clock(), log, pool_options(config)),
       engine_(config.settings, config.seed, pool_, loop.deadlines(), loop.clock(), log),
       platform_(loop.io(), config.listen, engine_, config_.settings, loop.deadlines(), loop.clock(),
-                server_options(config, chat.empty() ? 1 : 2), [this] { return pool_.shed(); }),
+                server_options(config, chat_config_ ? 2 : 1), [this] { return pool_.shed(); }),
       watch_(loop.io(), config.discovery, loop.deadlines(), loop.clock(), log,
              [this](const discovery::Servers& servers) { apply(servers); }),
       signals_(loop.io(), SIGTERM, SIGINT) {
   pool_.attach(engine_);
   engine_.on_subscribe([this] { watch_.restart(); });
-  const auto chat_config = chat.empty() ? std::nullopt : chat::parse_config(chat, config_.settings);
-  if (chat_config) {
-    chat_.emplace(loop.io(), *chat_config, engine_, loop.deadlines(), loop.clock(), config.seed,
+  if (chat_config_) {
+    chat_.emplace(loop.io(), *chat_config_, engine_, loop.deadlines(), loop.clock(), config.seed,
                   server_options(config, 2), [this] { return pool_.shed(); });
   }
   const auto pair = vrrp.empty() ? std::nullopt : vrrp::parse_config(vrrp);
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -36,6 +36,7 @@
   Loop& loop_;
   Config config_;
   core::Log log_;
+  std::optional<chat::Config> chat_config_;  // before the fronts, which share the descriptors
   replica::Pool pool_;
   core::Engine engine_;
   platform::Front platform_;
