Share routing and health between the fronts; drop dead state and steps done twice

Found in review: both fronts took path and method apart and answered /healthz by themselves (now http::Front::route, answer_health); the unknown model's error, the descriptor split and the loading of a named configuration stood twice; Line::begun, two environment names and a local were read by nobody. Behaviour as before.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -61,8 +61,7 @@
 
 Environment read_environment() {
   Environment environment;
-  for (const char* name : {"PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG",
-                           "BITTERNFERRY_CHAT", "BITTERNFERRY_VRRP"}) {
+  for (const char* name : {"PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG"}) {
     if (const char* value = std::getenv(name); value != nullptr && *value != '\0') environment[name] = value;
   }
   return environment;
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -20,23 +20,25 @@
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
+// Sixty-four descriptors stay for all that is neither a client nor a replica.
+std::size_t usable(const Config& config) {
+  return config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
+}
+
 replica::Options pool_options(const Config& config) {
   replica::Options options;
   options.connect_timeout = config.settings.connect_timeout;
   options.idle_close = config.settings.idle_close;
   options.lease_patience =
       std::max<core::Duration>(milliseconds(20), config.settings.pin_limit / kLeaseTries);
-  // Sixty-four descriptors stay for all that is neither a client nor a replica.
-  const std::size_t usable = config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
-  options.most_open = std::min<std::size_t>(options.most_open, usable * 46 / 100);
+  options.most_open = std::min<std::size_t>(options.most_open, usable(config) * 46 / 100);
   options.most_idle_all = std::min(options.most_idle_all, options.most_open / 2);
   return options;
 }
 
 http::ServerOptions server_options(const Config& config, std::size_t fronts) {
   http::ServerOptions options;
-  const std::size_t usable = config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
-  options.most_clients = std::min<std::size_t>(options.most_clients, usable * 54 / 100) / fronts;
+  options.most_clients = std::min<std::size_t>(options.most_clients, usable(config) * 54 / 100) / fronts;
   return options;
 }
 
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -26,8 +26,15 @@
   return named || std::filesystem::exists(path) ? app::read_file(path) : std::string();
 }
 
+// PROXY_CONFIG's, or the one that was named.
+app::Config load(const std::string& path) {
+  app::Environment environment = app::read_environment();
+  if (!path.empty()) environment["PROXY_CONFIG"] = path;
+  return app::load_config(environment);
+}
+
 int serve(const std::string& chat, const std::string& vrrp) {
-  const app::Config config = app::load_config(app::read_environment());
+  const app::Config config = load({});
   app::Loop loop;
   app::Dispatcher dispatcher(loop, config, chat, vrrp,
                              [&loop](std::string_view text) { log_line(loop.now(), text); });
@@ -37,9 +44,7 @@
 }
 
 int check_config(const std::string& path, const std::string& chat, const std::string& vrrp) {
-  app::Environment environment = app::read_environment();
-  if (!path.empty()) environment["PROXY_CONFIG"] = path;
-  const app::Config config = app::load_config(environment);
+  const app::Config config = load(path);
   const bool chats = !chat.empty() && chat::parse_config(chat, config.settings).has_value();
   const bool paired = !vrrp.empty() && vrrp::parse_config(vrrp).has_value();
   std::cout << "ok: " << config.name << ", " << config.settings.classes.size() << " classes, "
@@ -49,9 +54,7 @@
 }
 
 int show_config(const std::string& path) {
-  app::Environment environment = app::read_environment();
-  if (!path.empty()) environment["PROXY_CONFIG"] = path;
-  const app::Config config = app::load_config(environment);
+  const app::Config config = load(path);
   const auto ms = [](core::Duration d) { return std::to_string(d.count() / 1000) + " ms"; };
   std::cout << "name " << config.name << "\nlisten " << config.listen << "\ndiscovery " << config.discovery
             << "\nsockets " << config.sockets << "\nmemory_mb " << config.memory_mb << "\nconnect timeout "
--- a/src/chat/front.cpp
+++ b/src/chat/front.cpp
@@ -1,7 +1,6 @@
 #include "chat/front.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cstdio>
 #include <utility>
 
@@ -54,19 +53,14 @@
 }
 
 void Front::on_request(SlotId client, http::Server::Request& request, core::Time arrived) {
-  const std::string_view target{request.target().data(), request.target().size()};
-  const std::string_view path = target.substr(0, target.find('?'));
-  const std::string_view method{request.method_string().data(), request.method_string().size()};
+  const auto [method, path] = route(request);
   const bool one_model =
       path.starts_with(kModels) && path.size() > kModels.size() + 1 && path[kModels.size()] == '/';
   if (path != kCompletions && path != kModels && path != kHealth && !one_model)
     return server_.error(client, 404, "no such path: " + std::string(path));
   const std::string wanted = path == kCompletions ? "POST" : "GET";
   if (method != wanted) return server_.error(client, 405, "this path takes " + wanted, {{"Allow", wanted}});
-  if (path == kHealth) {
-    if (server_.draining()) return server_.error(client, 503, "shutting down");
-    return server_.answer(client, 200, "text/plain", "ok\n");
-  }
+  if (path == kHealth) return answer_health(client);
   const auto who = account(request);
   if (!who) {
     return reply(client, {401, "no valid API key was given", "invalid_request_error", {}, "invalid_api_key"},
@@ -83,10 +77,7 @@
     if (m.id == id) return server_.answer(client, 200, "application/json", model.dump());
     list.push_back(std::move(model));
   }
-  if (!id.empty()) {
-    return reply(client, {404, "the model '" + std::string(id) + "' does not exist", "invalid_request_error",
-                          "model", "model_not_found"});
-  }
+  if (!id.empty()) return reply(client, no_such_model(id));
   server_.answer(client, 200, "application/json", Json{{"object", "list"}, {"data", list}}.dump());
 }
 
--- a/src/chat/request.cpp
+++ b/src/chat/request.cpp
@@ -109,6 +109,11 @@
   return Json{{"error", object}}.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+ApiError no_such_model(std::string_view id) {
+  return {404, "the model '" + std::string(id) + "' does not exist", "invalid_request_error", "model",
+          "model_not_found"};
+}
+
 Json parse_json(std::string_view source) {
   bool deep = false;
   const Json object = Json::parse(
@@ -130,9 +135,7 @@
   if (model.empty()) bad("model is missing", "model");
   const auto found =
       std::find_if(config.models.begin(), config.models.end(), [&](const Model& m) { return m.id == model; });
-  if (found == config.models.end())
-    throw ApiError{404, "the model '" + model + "' does not exist", "invalid_request_error", "model",
-                   "model_not_found"};
+  if (found == config.models.end()) throw no_such_model(model);
   request.model = &*found;
   request.stream = flag(object, "stream");
   if (const Json* options = member(object, "stream_options")) {
--- a/src/chat/request.hpp
+++ b/src/chat/request.hpp
@@ -19,6 +19,7 @@
   std::optional<std::string> param, code;
 };
 std::string to_body(const ApiError& error);
+ApiError no_such_model(std::string_view id);
 
 struct ChatRequest {
   basaltvane::Request routing;  // without its id and deadline
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -167,7 +167,6 @@
   deadlines_.drop(attempt.limit);
   Verdict verdict = ending.verdict;
   if (flight.streaming == number && !flight.answered) {
-    deadlines_.drop(flight.silence);
     answered(flight);
     if (verdict == Verdict::kServed) {
       flight.front->finish(flight.client);
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -21,7 +21,7 @@
   using OnChange = std::function<void(const Servers&)>;
   Watch(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Deadlines& deadlines,
         core::Clock clock, core::Log log, OnChange on_change);
-  // Opens the watch for what came after `seq`; `whole`: no list is held yet.
+  // Opens the watch for what came after `seq`.
   void start(std::uint64_t seq);
   void restart();
   std::uint64_t seq() const { return seq_; }
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "core/engine.hpp"
 #include "http/server.hpp"
@@ -29,6 +30,18 @@
     const SlotId id = engine_.submit(*this, client, request, std::move(message));
     if (engine_.waits(id)) requests_[client] = id;
   }
+  struct Route {
+    std::string_view method, path;  // path: without the query
+  };
+  static Route route(const Server::Request& request) {
+    const auto method = request.method_string(), target = request.target();
+    const std::string_view all{target.data(), target.size()};
+    return {{method.data(), method.size()}, all.substr(0, all.find('?'))};
+  }
+  void answer_health(SlotId client) {
+    if (server_.draining()) return server_.error(client, 503, "shutting down");
+    server_.answer(client, 200, "text/plain", "ok\n");
+  }
   // Drops the request of a client that has gone, or that was answered without the core.
   void leave(SlotId client) {
     const auto it = requests_.find(client);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -83,16 +83,13 @@
       settings_(settings) {}
 
 void Front::on_request(SlotId client, http::Server::Request& request, core::Time arrived) {
-  const std::string_view target{request.target().data(), request.target().size()};
-  const std::string_view path = target.substr(0, target.find('?'));
-  const std::string_view method{request.method_string().data(), request.method_string().size()};
+  const auto [method, path] = route(request);
   const bool health = path == "/healthz", chat = path == "/v1/chat/completions";
   if (!health && !chat) return server_.error(client, 404, "no such path");
   const std::string_view wanted = health ? "GET" : "POST";
   if (method != wanted) return server_.error(client, 405, "wrong method", {{"Allow", std::string(wanted)}});
   if (chat) return take(client, request, arrived);
-  if (server_.draining()) return server_.error(client, 503, "shutting down");
-  server_.answer(client, 200, "text/plain", "ok\n");
+  answer_health(client);
 }
 
 void Front::take(SlotId client, http::Server::Request& request, core::Time arrived) {
@@ -129,9 +126,8 @@
 
 void Front::refuse(SlotId client, std::optional<core::Duration> retry_in) {
   forget(client);
-  const std::string wait = http::seconds_text(retry_in.value_or(core::Duration{}));
   if (!retry_in) return server_.error(client, 503, "try again");
-  server_.error(client, 503, "try again", {{"Retry-After", wait}});
+  server_.error(client, 503, "try again", {{"Retry-After", http::seconds_text(*retry_in)}});
 }
 
 void Front::fail(SlotId client, core::Failure why) {
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -110,7 +110,7 @@
   Line& line = *lines_.find(id);
   line.kind = kind;
   line.request = std::move(request);
-  line.sent = line.begun = false;
+  line.sent = false;
   line.reader.reset();
   line.framer = {};
   line.ending = {};
@@ -327,7 +327,6 @@
   const std::string lease = line->id;
   core::Ending ending = line->ending;
   ending.verdict = line->sent ? Verdict::kReset : Verdict::kConnectFailed;
-  const std::string host = line->host;
   drop(id);
   if (kind == Kind::kAttempt && attempts_.erase(attempt) > 0) return engine_->ended(attempt, ending);
   const auto it = leases_.find(lease);
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -66,7 +66,7 @@
   struct Line {
     std::string host;
     std::shared_ptr<net::Connection> connection;
-    bool connected = false, sent = false, begun = false;
+    bool connected = false, sent = false;
     Kind kind = Kind::kNone;  // kNone: idle, or being opened for nobody any more
     AttemptId attempt;
     std::string id;       // of the request that a lease call is about
