Reread the configuration on SIGHUP and move the watch to its new discovery

At fault: src/app/dispatcher.cpp registered SIGTERM and SIGINT only, and Watch had no way to another address.

Now SIGHUP reads the files again, all or nothing: a bad one leaves the old in force with one log line. The file's `discovery` goes before PROXY_DISCOVERY there, the process's environment being as old as itself. The chat front's models, keys and limits follow too.

--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -89,6 +89,7 @@
   }
   const Json* settings = member(object, "settings");
   if (settings == nullptr || !settings->is_object()) throw ConfigError("field 'settings': object expected");
+  config.settings_text = settings->dump(-1, ' ', false, Json::error_handler_t::replace);
   try {
     config.settings = basaltvane::wire::parse_settings(*settings);
     basaltvane::Router(config.settings, 0);  // its own checks
@@ -111,10 +112,23 @@
   return config;
 }
 
-Config load_config(const Environment& environment) {
+namespace {
+std::string read_config(const Environment& environment) {
   const auto it = environment.find("PROXY_CONFIG");
   if (it == environment.end()) throw ConfigError("PROXY_CONFIG is not set");
-  return parse_config(read_file(it->second), environment);
+  return read_file(it->second);
+}
+}  // namespace
+
+Config load_config(const Environment& environment) {
+  return parse_config(read_config(environment), environment);
+}
+
+Config reload_config(Environment environment) {
+  const std::string source = read_config(environment);
+  const Json object = Json::parse(source, nullptr, false);
+  if (object.is_object() && member(object, "discovery") != nullptr) environment.erase("PROXY_DISCOVERY");
+  return parse_config(source, environment);
 }
 
 }  // namespace bitternferry::app
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -25,6 +25,7 @@
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;
   basaltvane::Settings settings;
+  std::string settings_text;  // as they stood in the file, to tell whether another file changes them
   discovery::Servers known;
 };
 
@@ -34,7 +35,10 @@
 // PROXY_CONFIG names the JSON file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before what it says.
 Config parse_config(const std::string& text, const Environment& environment);  // throws ConfigError
 Config load_config(const Environment& environment);                            // throws ConfigError
-std::string read_file(const std::string& path);                                // throws ConfigError
+// The same file read again under way. Here its discovery goes before the environment's, which is as old as
+// the process.
+Config reload_config(Environment environment);   // throws ConfigError
+std::string read_file(const std::string& path);  // throws ConfigError
 
 }  // namespace bitternferry::app
 
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -45,10 +45,11 @@
 }  // namespace
 
 Dispatcher::Dispatcher(Loop& loop, const Config& config, const std::string& chat, const std::string& vrrp,
-                       core::Log log)
+                       core::Log log, ReadAgain read_again)
     : loop_(loop),
       config_(config),
       log_(log),
+      read_again_(std::move(read_again)),
       chat_config_(chat.empty() ? std::nullopt : chat::parse_config(chat, config_.settings)),
       pool_(loop.io(), loop.deadlines(), loop.clock(), log, pool_options(config)),
       engine_(config.settings, config.seed, pool_, loop.deadlines(), loop.clock(), log),
@@ -56,7 +57,7 @@
                 server_options(config, chat_config_ ? 2 : 1), [this] { return pool_.shed(); }),
       watch_(loop.io(), config.discovery, loop.deadlines(), loop.clock(), log,
              [this](const discovery::Servers& servers) { apply(servers); }),
-      signals_(loop.io(), SIGTERM, SIGINT) {
+      signals_(loop.io(), SIGTERM, SIGINT, SIGHUP) {
   pool_.attach(engine_);
   engine_.on_subscribe([this] { watch_.restart(); });
   if (chat_config_) {
@@ -80,9 +81,7 @@
   // Discovery may be silent for long: the list that was last known serves until it speaks.
   apply(config_.known);
   watch_.start(config_.known.seq);
-  signals_.async_wait([this](boost::system::error_code error, int) {
-    if (!error) drain();
-  });
+  await_signal();
   platform_.server().open();
   if (vrrp_) {
     vrrp_->start();  // which decides who of the pair listens at the chat address
@@ -93,6 +92,45 @@
   if (chat_ && !vrrp_) log_("chat front on " + text(chat_->server().local()));
 }
 
+void Dispatcher::await_signal() {
+  signals_.async_wait([this](boost::system::error_code error, int number) {
+    if (error) return;
+    if (number != SIGHUP) return drain();  // what is signalled from here on changes nothing
+    reload();
+    await_signal();
+  });
+}
+
+void Dispatcher::reload() {
+  if (!read_again_) return;
+  try {
+    adopt(read_again_());
+    log_("reloaded: discovery at " + text(config_.discovery));
+  } catch (const std::exception& e) {
+    log_(std::string("reload failed, the old configuration stays: ") + e.what());
+  }
+}
+
+void Dispatcher::adopt(const Files& files) {
+  const Config& next = files.config;
+  const auto chat = files.chat.empty() ? std::nullopt : chat::parse_config(files.chat, config_.settings);
+  // Nothing below throws: the new configuration is taken whole.
+  if (chat && chat_) chat_->adopt(*chat);
+  std::string later;
+  const auto wait = [&later](bool changed, const char* field) {
+    if (changed) later.append(later.empty() ? "" : ", ").append(field);
+  };
+  wait(next.listen != config_.listen, "listen");
+  wait(next.name != config_.name, "name");
+  wait(next.sockets != config_.sockets || next.memory_mb != config_.memory_mb, "limits");
+  wait(next.settings_text != config_.settings_text, "settings");
+  wait(chat.has_value() != chat_config_.has_value() || (chat && chat->listen != chat_config_->listen),
+       "the chat front's listen");
+  if (!later.empty()) log_("reload: changed, but taking effect at the next start only: " + later);
+  config_.discovery = next.discovery;
+  watch_.move(config_.discovery);
+}
+
 // The other of the pair may still be closing its listener at the shared address: tried until it is free.
 void Dispatcher::front_chat(bool active) {
   fronting_ = active && !draining_;
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -3,6 +3,7 @@
 #define BITTERNFERRY_APP_DISPATCHER_HPP_
 
 #include <boost/asio/signal_set.hpp>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -18,17 +19,27 @@
 
 namespace bitternferry::app {
 
+// What SIGHUP reads anew.
+struct Files {
+  Config config;
+  std::string chat;
+};
+
 class Dispatcher {
  public:
+  using ReadAgain = std::function<Files()>;  // throws where a file can't be read or is bad
   // `chat`, `vrrp`: the texts of their files, empty where there is none. Throws where one is bad.
   Dispatcher(Loop& loop, const Config& config, const std::string& chat, const std::string& vrrp,
-             core::Log log);
+             core::Log log, ReadAgain read_again = {});
   void start();
-  void drain();  // as SIGTERM asks: takes what still comes for a while, finishes everything, ends the loop
+  void reload();  // as SIGHUP asks: all of the new files takes effect or, where one is bad, nothing
+  void drain();   // as SIGTERM asks: takes what still comes for a while, finishes everything, ends the loop
   net::tcp::endpoint address() { return platform_.server().local(); }
 
  private:
   void apply(const discovery::Servers& servers);
+  void await_signal();
+  void adopt(const Files& files);
   void front_chat(bool active);
   void finish_draining();
   std::vector<http::Server*> servers();
@@ -36,6 +47,7 @@
   Loop& loop_;
   Config config_;
   core::Log log_;
+  ReadAgain read_again_;
   std::optional<chat::Config> chat_config_;  // before the fronts, which share the descriptors
   replica::Pool pool_;
   core::Engine engine_;
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <cstdio>
 #include <filesystem>
+#include <functional>
 #include <iostream>
 #include <string>
 
@@ -33,11 +34,14 @@
   return app::load_config(environment);
 }
 
-int serve(const std::string& chat, const std::string& vrrp) {
+int serve(const std::function<std::string()>& chat, const std::string& vrrp) {
   const app::Config config = load({});
   app::Loop loop;
-  app::Dispatcher dispatcher(loop, config, chat, vrrp,
-                             [&loop](std::string_view text) { log_line(loop.now(), text); });
+  app::Dispatcher dispatcher(
+      loop, config, chat(), vrrp, [&loop](std::string_view text) { log_line(loop.now(), text); },
+      [&chat] {
+        return app::Files{app::reload_config(app::read_environment()), chat()};
+      });
   dispatcher.start();
   loop.run();
   return 0;
@@ -92,9 +96,9 @@
       return 0;
     }
     if (*show) return show_config(path);
-    const std::string chat_text = read_optional(chat, chat_option->count() > 0);
+    const auto chat_text = [&] { return read_optional(chat, chat_option->count() > 0); };
     const std::string vrrp_text = read_optional(vrrp, vrrp_option->count() > 0);
-    return *check ? check_config(path, chat_text, vrrp_text) : serve(chat_text, vrrp_text);
+    return *check ? check_config(path, chat_text(), vrrp_text) : serve(chat_text, vrrp_text);
   } catch (const std::exception& e) {
     std::cerr << "bitternferry: " << e.what() << "\n";
     return 1;
--- a/src/chat/front.hpp
+++ b/src/chat/front.hpp
@@ -20,6 +20,10 @@
         core::Clock clock, std::uint64_t seed, const http::ServerOptions& options,
         std::function<bool()> shed);
 
+  // Models, keys, accounts and limits of another file, for the requests from now on. Where this front listens
+  // stays. What is under way keeps what it began with.
+  void adopt(const Config& config) { config_ = config; }
+
  private:
   void on_request(SlotId client, http::Server::Request& request, core::Time arrived) override;
   std::string error_body(int status, std::string_view what) override;
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -32,6 +32,12 @@
   open();
 }
 
+void Watch::move(const net::tcp::endpoint& at) {
+  at_ = at;
+  whole_ = true;
+  restart();
+}
+
 void Watch::open() {
   reader_.emplace(std::nullopt);
   partial_.clear();
@@ -59,9 +65,14 @@
 
 void Watch::on_connected(net::SlotId, net::error_code error) {
   if (error) return again(error.message());
-  connection_->write("GET /v1/servers?follow=1&since=" + std::to_string(seq_) +
-                     " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n");
+  ask();
   connection_->read();
+}
+
+void Watch::ask() {
+  const std::string follow = whole_ ? "" : "?follow=1&since=" + std::to_string(seq_);
+  connection_->write("GET /v1/servers" + follow +
+                     " HTTP/1.1\r\nHost: discovery\r\nAccept: application/json\r\n\r\n");
   expect(kQuiet);
 }
 
@@ -72,6 +83,14 @@
   if (reader_->message().result_int() != 200)
     return again("status " + std::to_string(reader_->message().result_int()));
   expect(kQuiet);
+  if (whole_) {
+    if (progress != http::Progress::kDone) return;
+    if (!line(reader_->take_body())) return again("no list");
+    whole_ = false;
+    if (!reader_->keep_alive()) return again("the connection ends with the list");
+    reader_.emplace(std::nullopt);
+    return ask();
+  }
   take(reader_->take_body());
   if (progress == http::Progress::kDone) again("the watch ended");
 }
@@ -89,16 +108,18 @@
   if (partial_.size() > kMostLine) partial_.clear();
 }
 
-void Watch::line(std::string_view text) {
-  if (text.find_first_not_of(" \t\r") == std::string_view::npos) return;
+bool Watch::line(std::string_view text) {
+  if (text.find_first_not_of(" \t\r\n") == std::string_view::npos) return false;
   try {
     const auto object = nlohmann::json::parse(text, nullptr, false);
     const Servers servers = parse_servers(object);
     if (!std::exchange(healthy_, true)) log_("discovery back");
     seq_ = servers.seq;
     on_change_(servers);
+    return true;
   } catch (const std::invalid_argument& e) {
     log_(std::string("discovery sent a bad line: ") + e.what());
+    return false;
   }
 }
 
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -24,6 +24,9 @@
   // Opens the watch for what came after `seq`.
   void start(std::uint64_t seq);
   void restart();
+  // Follows another address from now on. What was seen so far was the old one's, so the new one's whole list
+  // is taken first. The list that was told last serves until then.
+  void move(const net::tcp::endpoint& at);
   std::uint64_t seq() const { return seq_; }
 
  private:
@@ -32,8 +35,9 @@
   void on_sent(net::SlotId) override {}
   void on_ended(net::SlotId, net::error_code error) override;
   void open();
+  void ask();
   void take(std::string_view text);
-  void line(std::string_view text);
+  bool line(std::string_view text);  // false: it told nothing
   void again(std::string_view why);
   void expect(core::Duration within);
 
@@ -44,6 +48,7 @@
   core::Log log_;
   OnChange on_change_;
   std::uint64_t seq_ = 0;
+  bool whole_ = false;  // the whole list is to be asked for before it is followed
   std::shared_ptr<net::Connection> connection_;
   std::optional<http::ResponseReader> reader_;
   std::string partial_;  // a line that has not come whole
--- a/tests/dispatcher/app_test.cpp
+++ b/tests/dispatcher/app_test.cpp
@@ -1,5 +1,8 @@
 // Discovery's watch, and a whole dispatcher from start to drain.
 #include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
 
 #include "app/dispatcher.hpp"
 #include "world.hpp"
@@ -53,6 +56,32 @@
   CHECK(work.until([&] { return agent.seen.size() == 3; }));
 }
 
+TEST_CASE("a watch that moves takes the new address's whole list, then follows it", "[discovery]") {
+  Clockwork work;
+  StandInReplica old(work, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.server.begin(client);
+    r.server.pass(client, list(41, true, entry("a", "up")));
+  });
+  StandInReplica agent(work, [](StandInReplica& r, SlotId client, const StandInReplica::Seen& seen) {
+    if (seen.target == "/v1/servers") return r.say(client, 200, list(7, true, entry("b", "up")));
+    r.server.begin(client);
+    r.server.pass(client, list(8, false, entry("b", "draining")));
+  });
+  std::vector<discovery::Servers> told;
+  discovery::Watch watch(
+      work.io, old.server.local(), work.deadlines, work.clock(), [](std::string_view) {},
+      [&](const discovery::Servers& servers) { told.push_back(servers); });
+  watch.start(40);
+  REQUIRE(work.until([&] { return told.size() == 1; }));
+  watch.move(agent.server.local());
+  REQUIRE(work.until([&] { return told.size() == 3; }));
+  CHECK(told[1].whole);
+  CHECK(told[1].list.entries[0].host == "b");
+  CHECK(told[2].list.entries[0].state == basaltvane::HostState::kDraining);
+  CHECK(agent.seen[1].target == "/v1/servers?follow=1&since=7");
+  CHECK(work.until([&] { return old.gone.size() == 1; }));
+}
+
 // Discovery is silent here: what the configuration knows must serve.
 TEST_CASE("a dispatcher serves from the list it knows, and ends once it is drained", "[app]") {
   app::Loop loop;
@@ -84,6 +113,55 @@
   CHECK(client.connection->input().size() > 0);
 }
 
+TEST_CASE("SIGHUP moves the watch or, with a bad file, changes nothing; SIGTERM still drains", "[app]") {
+  app::Loop loop;
+  app::Config config;
+  config.listen = config.discovery = loopback();
+  config.discovery.port(1);
+  config.settings = make_settings();
+  net::tcp::acceptor agent(loop.io(), loopback());
+  bool moved = false;
+  agent.async_accept([&](net::error_code, net::tcp::socket) { moved = true; });
+  app::Files next{config, kChat};
+  next.config.discovery = agent.local_endpoint();
+  next.config.sockets = 2048;
+  std::vector<std::string> logs;
+  std::function<app::Files()> read = [] { return throw app::ConfigError("field 'x': bad"), app::Files{}; };
+  app::Dispatcher dispatcher(
+      loop, config, kChat, {},
+      [&](std::string_view line) { line.starts_with("discovery") ? void() : void(logs.emplace_back(line)); },
+      [&] { return read(); });
+  dispatcher.start();
+  const auto hang_up = [&] {
+    const std::size_t before = logs.size();
+    std::raise(SIGHUP);
+    while (logs.size() == before) loop.io().run_one();
+  };
+  hang_up();
+  CHECK(logs.back() == "reload failed, the old configuration stays: field 'x': bad");
+  read = [&] { return app::Files{next.config, R"({"listen":"127.0.0.1:0","models":[]})"}; };
+  hang_up();
+  CHECK(logs.back().starts_with("reload failed"));
+  CHECK_FALSE(moved);
+  read = [&] { return next; };
+  hang_up();
+  CHECK(logs[logs.size() - 2] == "reload: changed, but taking effect at the next start only: limits");
+  CHECK(logs.back().starts_with("reloaded: discovery at 127.0.0.1:"));
+  while (!moved) loop.io().run_one();
+  std::raise(SIGTERM);
+  loop.run();
+  CHECK(logs.back() == "drained");
+}
+
+TEST_CASE("a file read again goes before the environment of the start", "[app]") {
+  const std::string path = std::filesystem::temp_directory_path() / "bitternferry_reload_test.json";
+  std::ofstream(path) << R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:3"})";
+  app::Environment environment{{"PROXY_CONFIG", path}, {"PROXY_DISCOVERY", "nowhere"}};
+  CHECK_THROWS_WITH(app::load_config(environment), Catch::Contains("field 'discovery'"));
+  CHECK_THROWS_WITH(app::reload_config(environment), Catch::Contains("field 'settings'"));  // the next field
+  std::filesystem::remove(path);
+}
+
 // Of a pair only the active instance listens at the chat address.
 TEST_CASE("VRRP decides who fronts the chat address", "[app][vrrp]") {
   const int priority = GENERATE(255, 100);
