Close silent clients in time and shed them first; end spoilt answers as attempts that may have run

At fault, clients: Server::shed_idle passed over clients that never sent a byte, idle was 120 s and arrival 20 s, so 300 silent ones filled the table and real ones waited in the backlog. Now a first byte is owed within 2 s, a whole request within 2.5 s of the connection's start, and a full table sheds lingering, old silent, idle and half-sent connections in this order, never the newest one. Two lengths, or a coding that is not chunked, are refused at the head, for both fronts. Bodies held at once are bounded by the configuration's memory. What comes after a last answer is thrown away up to 256 KiB only.

At fault, replicas: Pool::read took 1xx for the answer; wire::parse_load's exception on a report of the wrong type would have ended the program; a chunk of 3 GB was read on; every spoilt answer was a reset, which ejects a host at once; after it, Router kept a state that the writer had fetched, so the next write ended in 410; and usable() demanded a repeat window of safe requests too (0 s), so that an ask that may have run found no writer until the pin limit. A 400 of a replica counted against its health. Hosts that are gone stayed in Pool::hosts_ and Engine::roles_, start times in Router::starts_.

Ruled out: CPU (0.09 s in the busiest second), descriptors (513 of 768), replicas (no error before the clients' table was full).

Each has tests that fail without it.

--- a/include/basaltvane/router.hpp
+++ b/include/basaltvane/router.hpp
@@ -124,7 +124,8 @@
   Verdict verdict{};
   Duration elapsed{};
   bool finished{};
-  int note{};  // kRead, kServed: prompt tokens found kept. kFull: 1 if there was no state to fetch
+  int note{};  // kRead, kServed: prompt tokens found kept. kFull: 1 if there was no state to fetch. kError,
+               // kReset: 1 if an answer had begun, so that its state was fetched and the host does run
   LoadReport report;
 };
 struct FirstToken {
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -15,6 +15,7 @@
 constexpr core::Duration kDrainLook = milliseconds(20);
 // One try of a lease call: several must fit into the pin limit.
 constexpr int kLeaseTries = 3;
+constexpr std::size_t kMegabyte = 1024 * 1024;
 
 std::string text(const net::tcp::endpoint& at) {
   return at.address().to_string() + ":" + std::to_string(at.port());
@@ -39,6 +40,8 @@
 http::ServerOptions server_options(const Config& config, std::size_t fronts) {
   http::ServerOptions options;
   options.most_clients = std::min<std::size_t>(options.most_clients, usable(config) * 54 / 100) / fronts;
+  // A body stands in memory up to three times: as it came, to be sent again, and on its way out.
+  options.most_held = config.memory_mb * kMegabyte / 8 / fronts;
   return options;
 }
 
--- a/src/chat/front.cpp
+++ b/src/chat/front.cpp
@@ -183,6 +183,8 @@
   const auto it = exchanges_.find(client);
   const bool repeatable = it != exchanges_.end() && it->second.repeatable;
   forget(client);
+  if (why == core::Failure::kUnusable)
+    return reply(client, {400, "the model can't use this request", "invalid_request_error", {}, {}});
   const ApiError error = why == core::Failure::kTooLate
                              ? server_error(504, "no answer came in time; it may have run", "timeout")
                              : server_error(502, "the attempt failed; it may have run", "upstream_failed");
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -41,6 +41,7 @@
   Flight& flight = *requests_.find(id);
   flight.front = &front;
   flight.client = client;
+  flight.id = request.id;
   flight.message = std::move(message);
   flight.deadline = request.client_deadline;
   by_id_[request.id] = id;
@@ -49,10 +50,10 @@
   flight.overdue = deadlines_.add(request.client_deadline + settings_.answer_slack, [this, id] {
     Flight* late = requests_.find(id);
     if (late == nullptr || late->answered) return;
-    log_("request " + late->message->id + " overdue: failed by the core");
+    log_("request " + late->id + " overdue: failed by the core");
     late->front->fail(late->client, Failure::kTooLate);
     answered(*late);
-    feed(ClientGone{late->message->id});
+    feed(ClientGone{late->id});
     settle(id);
   });
   feed(request);
@@ -64,7 +65,7 @@
   if (flight == nullptr || flight->answered) return;
   answered(*flight);
   const auto streaming = flight->streaming;
-  feed(ClientGone{flight->message->id});
+  feed(ClientGone{flight->id});
   // The router leaves a running stream alone; nobody reads it any more, so its work must stop here.
   if (streaming) give_up_attempt(id, *streaming, Verdict::kCancelled);
   if ((flight = requests_.find(id)) != nullptr && flight->may_hold && !flight->any_out()) stray(id);
@@ -87,7 +88,10 @@
 // ---- discovery ----
 
 void Engine::hosts(const HostList& list) {
+  if (list.kind != ListKind::kDelta) roles_.clear();
   for (const HostEntry& entry : list.entries) {
+    if (entry.state == HostState::kGone) roles_.erase(entry.host);
+    if (entry.state == HostState::kGone) continue;
     for (const HostKind& kind : settings_.kinds) {
       if (kind.name == entry.kind) roles_[entry.host] = kind.role;
     }
@@ -112,11 +116,12 @@
     if (flight->answered) return give_up_attempt(attempt.request, attempt.number, Verdict::kCancelled);
     flight->streaming = attempt.number;
     flight->may_hold = false;  // with the first token all else that is held goes by itself
+    flight->message.reset();
     deadlines_.drop(found->limit);
     deadlines_.drop(flight->overdue);
     const SlotId client = flight->client;
     Answerer* front = flight->front;
-    feed(FirstToken{flight->message->id, found->host, attempt.number, clock_() - found->sent});
+    feed(FirstToken{flight->id, found->host, attempt.number, clock_() - found->sent});
     front->begin(client);
     if ((flight = requests_.find(attempt.request)) == nullptr) return;
   }
@@ -136,7 +141,7 @@
   flight.silence = deadlines_.add(clock_() + kSilence, [this, id] {
     Flight* silent = requests_.find(id);
     if (silent == nullptr || !silent->streaming || silent->answered) return;
-    log_("stream " + silent->message->id + " silent: cut");
+    log_("stream " + silent->id + " silent: cut");
     give_up_attempt(id, *silent->streaming, Verdict::kTimeout);
   });
 }
@@ -148,7 +153,7 @@
 
 void Engine::hold_answer(AttemptId attempt, const std::string& host, bool held) {
   Flight* flight = nullptr;
-  if (find_out(attempt, &flight) != nullptr) feed(HoldAnswer{flight->message->id, host, held});
+  if (find_out(attempt, &flight) != nullptr) feed(HoldAnswer{flight->id, host, held});
 }
 
 // Ends an attempt from this side: a time-out, a cancel, or a stream that nobody reads or feeds.
@@ -171,7 +176,7 @@
     if (verdict == Verdict::kServed) {
       flight.front->finish(flight.client);
     } else {
-      log_("stream " + flight.message->id + " broke at host " + attempt.host);
+      log_("stream " + flight.id + " broke at host " + attempt.host);
       flight.front->cut(flight.client);
     }
   } else if (verdict == Verdict::kServed && flight.streaming != number) {
@@ -180,10 +185,15 @@
   flight.timed_out = verdict == Verdict::kTimeout;
   const bool astray =
       verdict == Verdict::kCancelled || verdict == Verdict::kTimeout || verdict == Verdict::kReset;
-  if (attempt.reads && astray) flight.may_hold = true;
+  const bool spoilt = verdict == Verdict::kError && ending.note == 1;
+  if (spoilt || (attempt.reads && astray)) flight.may_hold = true;
   if (verdict == Verdict::kRead) flight.may_hold = false;  // the router knows of a state now: its to let go
-  Outcome outcome{flight.message->id,      attempt.host,    number,      verdict,
-                  clock_() - attempt.sent, flight.answered, ending.note, ending.report};
+  if (ending.unusable && !flight.answered) {
+    answered(flight);
+    flight.front->fail(flight.client, Failure::kUnusable);
+  }
+  Outcome outcome{flight.id,       attempt.host, number,       verdict, clock_() - attempt.sent,
+                  flight.answered, ending.note,  ending.report};
   if (flight.may_hold && !flight.any_out()) stray(id);
   feed(std::move(outcome));
   settle(id);
@@ -199,7 +209,7 @@
     stray->letting_go = {};
     if (stray->may_hold && !stray->any_out()) {
       stray->may_hold = false;
-      upstream_.release(stray->message->id);
+      upstream_.release(stray->id);
     }
     settle(id);
   });
@@ -216,7 +226,7 @@
   Flight* flight = requests_.find(id);
   if (flight == nullptr || !flight->answered || flight->any_out()) return;
   if (flight->letting_go != Deadlines::Id{}) return;
-  by_id_.erase(flight->message->id);
+  by_id_.erase(flight->id);
   requests_.erase(id);
 }
 
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -35,7 +35,7 @@
   auto operator<=>(const AttemptId&) const = default;
 };
 
-enum class Failure { kTooLate, kUpstream };
+enum class Failure { kTooLate, kUpstream, kUnusable };  // kUnusable: replicas can't use the request as it is
 
 // A front's side: where the answer to a request goes. `client` is the front's own handle for it.
 class Answerer {
@@ -67,8 +67,9 @@
 
 struct Ending {
   Verdict verdict{};
-  int note = 0;
+  int note = 0;  // as in basaltvane::Outcome
   basaltvane::LoadReport report;
+  bool unusable = false;  // the replica can't use this request, nor could another
 };
 
 class Engine {
@@ -106,12 +107,13 @@
   struct Flight {
     Answerer* front = nullptr;
     SlotId client;
-    std::shared_ptr<const Message> message;
+    std::string id;
+    std::shared_ptr<const Message> message;  // until the stream begins: nothing is sent again after that
     Time deadline{};
     std::vector<Attempt> attempts;
     std::optional<int> streaming;  // the attempt that is the client's
     bool answered = false, paused = false, timed_out = false;
-    bool may_hold = false;  // a read that went astray may have left a state
+    bool may_hold = false;  // an attempt that went astray may have left a state
     Deadlines::Id overdue, silence, letting_go;
     bool any_out() const;
   };
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kMostBody = 256 * 1024;
 constexpr std::size_t kMostHead = 16 * 1024;
+constexpr std::uint64_t kMostChunk = 16 * 1024 * 1024;
 
 enum class Progress { kMore, kDone, kBad };
 
@@ -78,8 +79,17 @@
       parser_->body_limit(boost::none);
     }
     parser_->eager(true);
+    parser_->on_chunk_header(check_chunk_);
   }
 
+  // A chunk that claims to hold gigabytes ends the message at once; it must not be read to its end first.
+  struct ChunkCheck {
+    void operator()(std::uint64_t size, boost::beast::string_view, boost::system::error_code& error) const {
+      if (size > kMostChunk) error = beast_http::error::body_limit;
+    }
+  };
+  inline static ChunkCheck check_chunk_{};  // the parser keeps a reference to it
+
   std::optional<std::size_t> most_body_;
   bool started_ = false;
   std::optional<beast_http::parser<kRequest, beast_http::string_body>> parser_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,18 @@
 constexpr std::size_t kMostOut = 1024 * 1024;
 constexpr std::size_t kHigh = 64 * 1024, kLow = 16 * 1024;  // queued output at which a stream waits, goes on
 constexpr Duration kAcceptRest = std::chrono::milliseconds(20);
+constexpr Duration kGrace = std::chrono::milliseconds(250);
+// What a client may still send after its last answer, to be thrown away. TCP holds back what is beyond.
+constexpr std::size_t kMostDiscarded = kMostBody;
+
+// Two lengths may hide a second request in the body of the first, and a coding that isn't known here leaves
+// the body's end open (RFC 9112, 6.1).
+bool ambiguous_length(const Server::Request& request) {
+  const auto coding = header(request, "Transfer-Encoding");
+  if (request.count(beast_http::field::transfer_encoding) == 0) return false;
+  return request.count(beast_http::field::content_length) > 0 ||
+         !boost::beast::iequals({coding.data(), coding.size()}, "chunked");
+}
 }  // namespace
 
 Server::Server(boost::asio::io_context& io, const net::tcp::endpoint& at, Handler& handler,
@@ -18,7 +30,7 @@
       deadlines_(deadlines),
       clock_(std::move(clock)),
       options_(options),
-      shed_(std::move(shed)),
+      shed_elsewhere_(std::move(shed)),
       listener_(io, at, *this) {}
 
 // ---- connections ----
@@ -28,28 +40,48 @@
   Client& client = *clients_.find(id);
   client.connection = std::make_shared<net::Connection>(std::move(socket), kMostIn, kMostOut);
   client.connection->own(*this, id);
-  wait(id, options_.idle);
+  client.since = clock_();
+  wait(id, options_.greeting);
   client.connection->read();
-  if (clients_.size() >= options_.most_clients && !shed_idle()) listener_.rest();
+  if (clients_.size() >= options_.most_clients && !shed(id)) listener_.rest();
 }
 
 // Out of descriptors, most likely: the backlog keeps the client until some are free again.
 void Server::on_accept_failed(net::error_code) {
-  if (!shed_idle() && shed_) shed_();
+  if (!shed() && shed_elsewhere_) shed_elsewhere_();
   deadlines_.add(clock_() + kAcceptRest, [this] { listener_.accept(); });
 }
 
-// Room for a new client is made by the connection that has stood idle longest.
-bool Server::shed_idle() {
-  SlotId oldest;
-  Time since = Time::max();
+// How much a connection is still good for. None of those asked about has a request that came whole.
+int Server::use(const Client& client, Time now) {
+  if (client.state == State::kLingering) return 0;
+  if (client.spoke && !client.reader.started()) return 2;  // between two requests
+  if (now < client.since + kGrace) return 4;               // its request may be on its way
+  return client.spoke ? 3 : 1;
+}
+
+// Room for a new client is made by the connection that is of least use, and among these by the oldest.
+// Hundreds that say nothing or never finish must not keep out those with something to ask.
+bool Server::shed(SlotId newcomer) {
+  SlotId least;
+  std::pair<int, Time> rank{5, Time{}};
   for (const SlotId id : clients_.ids()) {
     const Client& client = *clients_.find(id);
-    const bool idle = client.state == State::kReading && !client.reader.started() && client.arrived != Time{};
-    if (idle && client.arrived < since) oldest = id, since = client.arrived;
+    if (id == newcomer || client.state == State::kAnswering || !client.connection->output().empty()) continue;
+    const std::pair<int, Time> here{use(client, clock_()), client.since};
+    if (here >= rank) continue;
+    const bool more_is_here = client.state == State::kReading && client.connection->readable();
+    if (!more_is_here) least = id, rank = here;
   }
-  if (oldest) drop(oldest);
-  return static_cast<bool>(oldest);
+  if (least) drop(least);
+  return static_cast<bool>(least);
+}
+
+// Keeps count of the bodies that wait here or behind the handler. False: with this one they are too much.
+bool Server::hold(Client& client, std::size_t bytes) {
+  held_ += bytes - client.held;
+  client.held = bytes;
+  return bytes == 0 || held_ <= options_.most_held;
 }
 
 void Server::wait(SlotId id, Duration limit) {
@@ -61,9 +93,7 @@
     late->limit = {};
     if (late->state == State::kAnswering) return gone(id);
     if (late->state == State::kReading && late->reader.started()) {
-      late->state = State::kAnswering;
-      late->keep = false;
-      return error(id, 408, "the request did not come whole in time");
+      return refuse(id, *late, 408, "the request did not come whole in time");
     }
     drop(id);
   });
@@ -78,6 +108,7 @@
   Client* client = clients_.find(id);
   if (client == nullptr) return;
   deadlines_.drop(client->limit);
+  hold(*client, 0);
   client->connection->close();
   clients_.erase(id);
   if (clients_.size() < options_.most_clients && listener_.is_open()) listener_.accept();
@@ -87,7 +118,8 @@
   for (const SlotId id : clients_.ids()) {
     Client& client = *clients_.find(id);
     // A request that is already here is still read and answered.
-    if (client.state == State::kReading && !client.reader.started() && !client.connection->stale()) drop(id);
+    if (client.state != State::kReading || client.reader.started() || client.connection->readable()) continue;
+    client.connection->output().empty() ? drop(id) : cut(id);
   }
 }
 
@@ -96,29 +128,39 @@
 void Server::on_data(SlotId id) {
   Client* client = clients_.find(id);
   if (client == nullptr) return;
-  if (client->state == State::kLingering) {
-    client->connection->input().consume(client->connection->input().size());
-    return;
-  }
+  if (client->state == State::kLingering) return discard(*client);
   if (client->state == State::kReading) next(id);
 }
 
+void Server::discard(Client& client) {
+  client.discarded += client.connection->input().size();
+  client.connection->input().consume(client.connection->input().size());
+  if (client.discarded > kMostDiscarded) client.connection->pause();
+}
+
 // Reads the next request, if it is there whole.
 void Server::next(SlotId id) {
   Client& client = *clients_.find(id);
   if (client.connection->input().empty()) return;
   if (!client.reader.started()) {
     client.arrived = clock_();
-    wait(id, options_.arrival);
+    const bool first = !std::exchange(client.spoke, true);
+    wait(id, first ? client.since + options_.arrival - client.arrived : options_.arrival);
+    client.since = client.arrived;
   }
   const Progress progress = client.reader.read(client.connection->input());
+  if (progress != Progress::kBad && client.reader.head_done() && ambiguous_length(client.reader.message()))
+    return refuse(id, client, 400, "the request's length is ambiguous");
   if (progress == Progress::kMore) {
+    if (!hold(client, client.reader.message().body().size())) return too_much(id, client);
     if (client.reader.head_done() && !std::exchange(client.told_continue, true) &&
         header(client.reader.message(), "Expect") == "100-continue") {
       client.connection->write("HTTP/1.1 100 Continue\r\n\r\n");
     }
     return;
   }
+  if (progress == Progress::kDone && !hold(client, client.reader.message().body().size()))
+    return too_much(id, client);
   client.state = State::kAnswering;
   // The answer to a HEAD would have to lack its body; closing after it keeps the client in step.
   client.keep = progress == Progress::kDone && client.reader.keep_alive() &&
@@ -129,6 +171,19 @@
   handler_.on_request(id, client.reader.message(), client.arrived);
 }
 
+// Answers a request that may not have come whole: what follows on its connection is of no use.
+void Server::refuse(SlotId id, Client& client, int status, std::string_view what,
+                    std::initializer_list<Header> more) {
+  deadlines_.drop(client.limit);
+  client.state = State::kAnswering;
+  client.keep = false;
+  error(id, status, what, more);
+}
+
+void Server::too_much(SlotId id, Client& client) {
+  refuse(id, client, 503, "too much is being sent at once", {{"Retry-After", "1"}});
+}
+
 void Server::reject(SlotId id, Client& client) {
   if (client.reader.error() == beast_http::error::body_limit)
     return error(id, 413, "the body is larger than 256 KiB");
@@ -171,6 +226,7 @@
   Client* client = clients_.find(id);
   if (client == nullptr || client->state != State::kAnswering) return;
   client->streaming = true;
+  hold(*client, 0);
   client->keep = client->keep && !draining_ && client->chunked;
   client->connection->write(stream_head(client->keep, client->chunked));
 }
@@ -195,8 +251,12 @@
   client->state = State::kReading;
   client->reader.reset();
   wait(id, options_.idle);
-  client->arrived = clock_();
-  if (client->connection->input().empty()) return;
+  client->since = clock_();
+  hold(*client, 0);
+  if (client->connection->input().empty()) {
+    if (clients_.size() >= options_.most_clients) shed();  // others may have been waiting for the room
+    return;
+  }
   client->connection->read();  // it may have stopped at a full buffer
   // A request that came early is taken from the event loop: many of them must not nest in each other.
   deadlines_.add(clock_(), [this, id] {
@@ -212,7 +272,10 @@
   client->streaming = client->waiting = false;
   // The client is given time to read what was sent: closing on unread input would destroy it on the way.
   client->connection->finish();
-  client->connection->input().consume(client->connection->input().size());
+  client->since = clock_();
+  hold(*client, 0);
+  client->reader.reset();
+  discard(*client);
   client->connection->read();
   wait(id, options_.linger);
 }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -20,10 +20,14 @@
 
 struct ServerOptions {
   std::size_t most_clients = 500;
-  Duration idle = std::chrono::seconds(120);    // a connection between requests is closed after this
-  Duration arrival = std::chrono::seconds(20);  // for a request to come whole
-  Duration stall = std::chrono::seconds(20);    // for a client to take more of its stream
-  Duration linger = std::chrono::seconds(1);    // for a client to close after the last answer
+  std::size_t most_held = 16U << 20U;  // bytes of bodies at once, of all clients, until their answers begin
+  Duration greeting = std::chrono::seconds(2);  // for a new connection's first byte
+  // For a request to come whole, from its first byte; the first one of a connection from the connection's
+  // start, so that a client that dawdles twice is answered no later.
+  Duration arrival = std::chrono::milliseconds(2500);
+  Duration idle = std::chrono::seconds(60);          // a connection between requests is closed after this
+  Duration stall = std::chrono::seconds(20);         // for a client to take more of its stream
+  Duration linger = std::chrono::milliseconds(500);  // for a client to close after the last answer
 };
 
 class Server : private net::Connection::Owner, private net::Listener::Owner {
@@ -73,8 +77,12 @@
     RequestReader reader{kMostBody};
     State state = State::kReading;
     bool streaming = false, waiting = false, keep = true, told_continue = false;
-    bool chunked = true;  // HTTP/1.0 knows no chunks: there the connection's end is the stream's
-    Time arrived{};
+    bool chunked = true;        // HTTP/1.0 knows no chunks: there the connection's end is the stream's
+    bool spoke = false;         // a first byte has come
+    std::size_t held = 0;       // bytes of its request's body
+    std::size_t discarded = 0;  // bytes that came after its last answer
+    Time arrived{};             // the first byte of the request
+    Time since{};               // accepted, went idle or began to linger
     core::Deadlines::Id limit;
   };
 
@@ -84,19 +92,26 @@
   void on_sent(SlotId id) override;
   void on_ended(SlotId id, net::error_code error) override;
   void reject(SlotId id, Client& client);
+  void refuse(SlotId id, Client& client, int status, std::string_view what,
+              std::initializer_list<Header> more = {});
+  void too_much(SlotId id, Client& client);
+  static void discard(Client& client);
   void next(SlotId id);
   void wait(SlotId id, Duration limit);
   void gone(SlotId id);
   void drop(SlotId id);
-  bool shed_idle();
+  bool hold(Client& client, std::size_t bytes);
+  static int use(const Client& client, Time now);
+  bool shed(SlotId newcomer = {});
 
   Handler& handler_;
   core::Deadlines& deadlines_;
   core::Clock clock_;
   ServerOptions options_;
-  std::function<bool()> shed_;
+  std::function<bool()> shed_elsewhere_;
   net::Listener listener_;
   net::SlotTable<Client> clients_;
+  std::size_t held_ = 0;
   bool draining_ = false;
 };
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -99,8 +99,9 @@
   owner_->on_ended(id_, error);
 }
 
-bool Connection::stale() {
-  if (!open_ || !in_.empty()) return true;
+bool Connection::stale() { return !open_ || !in_.empty() || readable(); }
+
+bool Connection::readable() {
   char byte = 0;
   const auto n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -46,8 +46,9 @@
   bool write(std::string_view text);  // false: more than the ring may hold
   // Has the peer closed, or sent something that nobody asked for? Asks the kernel, past what was read.
   bool stale();
-  void finish();  // no more output after what is queued; the end is sent then
-  void close();   // at once; the owner hears nothing more
+  bool readable();  // has more come, or the peer's end? Asks the kernel, past what was read
+  void finish();    // no more output after what is queued; the end is sent then
+  void close();     // at once; the owner hears nothing more
 
  private:
   void pump();
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -132,6 +132,8 @@
 
 void Front::fail(SlotId client, core::Failure why) {
   forget(client);
+  if (why == core::Failure::kUnusable)
+    return server_.error(client, 400, "the replicas can't use this request");
   const bool late = why == core::Failure::kTooLate;
   server_.error(client, late ? 504 : 502, late ? "no answer in time" : "the attempt failed");
 }
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -8,7 +8,6 @@
 
 namespace bitternferry::replica {
 
-using basaltvane::Verdict;
 using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
@@ -19,6 +18,9 @@
 constexpr double kIdlePart = 0.6;  // of the replica's idle time, after which a connection is used no more
 constexpr Duration kDrainCare = milliseconds(150);  // no first byte goes to a replica drained for so long
 
+// The head of an answer comes with the first token: one that has begun and brings no event soon is spoilt.
+constexpr Duration kOpening = milliseconds(1000);
+
 constexpr std::string_view kLoadComment = ": X-Backend-Load:";
 
 std::string request_head(std::string_view method, std::string_view target) {
@@ -35,6 +37,11 @@
   return text + m.body;
 }
 
+// What is wrong is the request, whoever it is sent to: not the time or the load.
+bool refuses_request(unsigned status) {
+  return status / 100 == 4 && status != 408 && status != 425 && status != 429;
+}
+
 int cached_tokens(const Json& object) {
   if (!object.is_object()) return 0;
   const auto it = object.find("cached_tokens");
@@ -52,17 +59,32 @@
     for (auto& [name, host] : hosts_) {
       if (host.ready) host.drained = clock_();
       host.ready = false;
+      host.gone = true;
     }
   }
   for (const Address& a : addresses) {
     Host& host = hosts_[a.host];
     // Connections to where it listened before, or that it would rather see closed, serve no more.
-    if (host.known && (host.endpoint != a.endpoint || !a.ready)) drop_idle(host);
-    host.known = true;
+    if (host.endpoint != a.endpoint || !a.ready) drop_idle(host);
     host.endpoint = a.endpoint;
     if (host.ready && !a.ready) host.drained = clock_();
     host.ready = a.ready;
+    host.gone = a.gone;
   }
+  for (auto& [name, host] : hosts_) {
+    if (!host.ready) drop_idle(host);
+  }
+  forget_gone();
+}
+
+// Replicas are replaced under new names all day: what is gone must not be kept.
+void Pool::forget_gone() {
+  std::erase_if(hosts_, [](const auto& entry) { return entry.second.gone && entry.second.lines == 0; });
+}
+
+Pool::Host* Pool::find(const std::string& name) {
+  const auto it = hosts_.find(name);
+  return it == hosts_.end() ? nullptr : &it->second;
 }
 
 // ---- lines ----
@@ -83,6 +105,7 @@
   }
   if (lines_.size() >= options_.most_open && !shed()) return {};
   const SlotId id = lines_.emplace();
+  ++host.lines;
   Line& line = *lines_.find(id);
   line.host = name;
   line.connection = net::Connection::connect(io_, host.endpoint, *this, id, kMostIn, kMostOut);
@@ -111,6 +134,7 @@
   line.kind = kind;
   line.request = std::move(request);
   line.sent = false;
+  line.answers = false;
   line.reader.reset();
   line.framer = {};
   line.ending = {};
@@ -128,7 +152,7 @@
   Line& line = *lines_.find(id);
   line.kind = Kind::kNone;
   line.reader.reset();
-  Host& host = hosts_[line.host];
+  Host& host = *find(line.host);  // which is kept while it has connections
   if (host.idle.size() >= options_.most_idle || !host.ready) return drop(id);
   if (idle_ >= options_.most_idle_all) shed();
   host.idle.push_back(id);
@@ -143,7 +167,8 @@
 void Pool::drop(SlotId id) {
   Line* line = lines_.find(id);
   if (line == nullptr) return;
-  auto& idle = hosts_[line->host].idle;
+  Host& host = *find(line->host);
+  auto& idle = host.idle;
   if (const auto it = std::find(idle.begin(), idle.end(), id); it != idle.end()) {
     idle.erase(it);
     --idle_;
@@ -151,14 +176,15 @@
   deadlines_.drop(line->limit);
   line->connection->close();
   lines_.erase(id);
+  --host.lines;
 }
 
 // ---- attempts ----
 
 void Pool::send(AttemptId attempt, const std::string& name, std::shared_ptr<const core::Message> message,
                 Time not_past) {
-  Host& host = hosts_[name];
-  const SlotId id = host.known ? take(name, host, options_.connect_timeout) : SlotId{};
+  Host* host = find(name);
+  const SlotId id = host != nullptr ? take(name, *host, options_.connect_timeout) : SlotId{};
   if (!id) return fail_later(attempt);
   Line& line = *lines_.find(id);
   line.attempt = attempt;
@@ -200,8 +226,8 @@
 // ---- leases ----
 
 void Pool::hold(AttemptId attempt, const std::string& name, const std::string& request) {
-  Host& host = hosts_[name];
-  const SlotId id = host.known ? take(name, host, options_.connect_timeout) : SlotId{};
+  Host* host = find(name);
+  const SlotId id = host != nullptr ? take(name, *host, options_.connect_timeout) : SlotId{};
   if (!id) return;
   Line& line = *lines_.find(id);
   line.attempt = attempt;
@@ -260,7 +286,7 @@
   if (error) return broke(id);
   line->connected = true;
   if (line->kind != Kind::kRelease) deadlines_.drop(line->limit);
-  Host& host = hosts_[line->host];
+  const Host& host = *find(line->host);
   // The router chose this replica before it was told of the drain: the first byte must not go out late.
   if (line->kind == Kind::kAttempt && !host.ready && clock_() > host.drained + kDrainCare) return broke(id);
   write(*line);
@@ -290,17 +316,30 @@
 
 void Pool::read(SlotId id, Line& first) {
   if (first.kind == Kind::kNone) return drop(id);  // an idle connection has nothing to say
-  hosts_[first.host].heard = clock_();
-  const http::Progress progress = first.reader.read(first.connection->input());
-  if (progress == http::Progress::kBad) return broke(id);
+  find(first.host)->heard = clock_();
+  const http::Progress progress = read_answer(id, first);
+  if (progress == http::Progress::kBad) return spoilt(id, first.reader.error().message());
   if (first.reader.head_done() && first.kind == Kind::kAttempt && first.reader.message().result_int() == 200)
     pass_events(id, first.reader.take_body());
   Line* line = lines_.find(id);
   if (line == nullptr || line->kind == Kind::kNone) return;
-  if (line->reader.message().body().size() > http::kMostBody || line->framer.too_long()) return broke(id);
+  if (line->reader.message().body().size() > http::kMostBody || line->framer.too_long())
+    return spoilt(id, "no end of an event or a body");
   if (progress == http::Progress::kDone) complete(id);
 }
 
+// Informational answers may come ahead of the one that counts.
+http::Progress Pool::read_answer(SlotId id, Line& line) {
+  http::Progress progress = line.reader.read(line.connection->input());
+  while (progress == http::Progress::kDone && line.reader.message().result_int() / 100 == 1) {
+    line.reader.reset();
+    progress = line.reader.read(line.connection->input());
+  }
+  if (line.reader.started() && !std::exchange(line.answers, true) && line.kind == Kind::kAttempt)
+    line.limit = deadlines_.add(clock_() + kOpening, [this, id] { spoilt(id, "no event"); });
+  return progress;
+}
+
 // Whole events go on at once; a load report and the count of tokens found kept are noted on the way.
 void Pool::pass_events(SlotId id, std::string_view bytes) {
   Line* line = lines_.find(id);
@@ -315,18 +354,35 @@
     }
     whole += event;
   }
-  if (!whole.empty()) engine_->events(line->attempt, whole);
+  if (whole.empty()) return;
+  deadlines_.drop(line->limit);
+  engine_->events(line->attempt, whole);
 }
 
-// The exchange ended without an answer.
+// The connection failed, or was never made.
 void Pool::broke(SlotId id) {
+  const Line* line = lines_.find(id);
+  if (line != nullptr) lost(id, line->sent ? Verdict::kReset : Verdict::kConnectFailed);
+}
+
+// The replica runs, and what it says can't be read: it may have done what was asked for.
+void Pool::spoilt(SlotId id, std::string_view why) {
+  const Line* line = lines_.find(id);
+  if (line == nullptr) return;
+  log_("host " + line->host + " spoilt an answer: " + std::string(why));
+  lost(id, Verdict::kError);
+}
+
+// The exchange ended without an answer.
+void Pool::lost(SlotId id, Verdict verdict) {
   Line* line = lines_.find(id);
   if (line == nullptr) return;
   const Kind kind = line->kind;
   const AttemptId attempt = line->attempt;
   const std::string lease = line->id;
   core::Ending ending = line->ending;
-  ending.verdict = line->sent ? Verdict::kReset : Verdict::kConnectFailed;
+  ending.verdict = verdict;
+  ending.note = line->answers ? 1 : 0;
   drop(id);
   if (kind == Kind::kAttempt && attempts_.erase(attempt) > 0) return engine_->ended(attempt, ending);
   const auto it = leases_.find(lease);
@@ -385,6 +441,8 @@
       break;
     default:
       ending.verdict = Verdict::kError;
+      ending.unusable = refuses_request(message.result_int());
+      if (ending.unusable) ending.verdict = Verdict::kNeverSent;  // no sign of the replica's health
       if (line.kind == Kind::kAttempt && message.result_int() != 500)
         log_("host " + line.host + " answered " + std::to_string(message.result_int()));
   }
@@ -393,7 +451,17 @@
 
 basaltvane::LoadReport Pool::parse_report(std::string_view text) {
   const Json fields = Json::parse(text, nullptr, false);
-  return fields.is_object() ? basaltvane::wire::parse_load(fields) : basaltvane::LoadReport{};
+  if (!fields.is_object()) return {};
+  try {
+    const basaltvane::LoadReport report = basaltvane::wire::parse_load(fields);
+    const auto sound = [](const std::optional<double>& value) {
+      return !value || (*value >= 0 && *value < 1e6);
+    };
+    const bool all = sound(report.in_hand) && sound(report.memory_share) && sound(report.prompt_kilotokens);
+    return all ? report : basaltvane::LoadReport{};
+  } catch (const basaltvane::wire::WireError&) {
+    return {};  // the answer is good all the same
+  }
 }
 
 }  // namespace bitternferry::replica
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -19,6 +19,7 @@
 
 namespace bitternferry::replica {
 
+using basaltvane::Verdict;
 using core::AttemptId;
 using core::Duration;
 using core::Time;
@@ -37,7 +38,7 @@
 struct Address {
   std::string host;
   net::tcp::endpoint endpoint;
-  bool ready = false;
+  bool ready = false, gone = false;
 };
 
 class Pool : public core::Upstream, private net::Connection::Owner {
@@ -49,6 +50,7 @@
   // Closes the oldest idle connection: descriptors are short. False: there is none.
   bool shed();
   std::size_t open() const { return lines_.size(); }
+  std::size_t hosts_known() const { return hosts_.size(); }
   std::size_t leases_out() const { return leases_.size(); }
 
   void send(AttemptId attempt, const std::string& host, std::shared_ptr<const core::Message> message,
@@ -67,6 +69,7 @@
     std::string host;
     std::shared_ptr<net::Connection> connection;
     bool connected = false, sent = false;
+    bool answers = false;     // bytes of an answer have come, other than informational ones
     Kind kind = Kind::kNone;  // kNone: idle, or being opened for nobody any more
     AttemptId attempt;
     std::string id;       // of the request that a lease call is about
@@ -74,11 +77,12 @@
     http::ResponseReader reader{std::nullopt};
     http::EventFramer framer;
     core::Ending ending;
-    core::Deadlines::Id limit;  // to connect, to answer a lease call, or to stand idle
+    core::Deadlines::Id limit;  // to connect, to begin a stream, to answer a lease call, or to stand idle
   };
   struct Host {
     net::tcp::endpoint endpoint;
-    bool known = false, ready = false;
+    bool ready = false, gone = false;
+    std::size_t lines = 0;  // open connections; a host that is gone is forgotten with the last of them
     Time drained{}, heard{};
     std::deque<SlotId> idle;  // the last used at the back
   };
@@ -96,8 +100,13 @@
   void start(SlotId id, Kind kind, std::string request);
   void write(Line& line);
   void read(SlotId id, Line& line);
+  http::Progress read_answer(SlotId id, Line& line);
   void pass_events(SlotId id, std::string_view bytes);
   void broke(SlotId id);
+  void spoilt(SlotId id, std::string_view why);
+  void lost(SlotId id, Verdict verdict);
+  Host* find(const std::string& name);
+  void forget_gone();
   void complete(SlotId id);
   core::Ending judge(Line& line);
   void park(SlotId id);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -291,12 +291,13 @@
   }
 
   // Two failures in a row eject; while the role's hosts fail hardly ever, the first one tells enough.
-  void note_failure(Host& h, Verdict verdict) {
+  // An answer that can't be read comes from a host that runs: any may spoil one now and then.
+  void note_failure(Host& h, Verdict verdict, bool spoilt = false) {
     double& fails = fails_[ix(h.role)];
     h.doubt += 1;
     const bool broken = verdict == Verdict::kConnectFailed || verdict == Verdict::kReset;
     const bool late = verdict == Verdict::kTimeout;
-    if (broken || h.ejected || h.doubt >= (fails < kSound ? kDoubtAlone : kDoubt))
+    if (broken || h.ejected || h.doubt >= (fails < kSound && !spoilt ? kDoubtAlone : kDoubt))
       eject(h, broken ? "unreachable" : late ? "silent" : "errors", late);
     fails += kNormGain * (1 - fails);
   }
@@ -355,7 +356,8 @@
       if (now_ < h.ejected_until || !h.idle()) return false;
       if (whole && q.cls->repeat != Repeat::kSafe) return false;
     }
-    if (whole && q.maybe_ran) {  // keyed: only where repeats are discarded, while they are remembered
+    // Keyed: only where repeats are discarded, while they are remembered.
+    if (whole && q.maybe_ran && q.cls->repeat == Repeat::kKeyed) {
       if (now_ > q.ran_sent + q.cls->window) return false;
       if (q.cls->group == Group::kZone && h.zone != q.ran_zone) return false;
       if (q.cls->group == Group::kCell && (h.zone != q.ran_zone || h.cell != q.ran_cell)) return false;
@@ -783,6 +785,7 @@
     q.started = now_;
     const double took = seconds(q.read_time + f.elapsed);  // lost attempts are no queue
     starts_.push_back(now_);
+    while (starts_.front() < now_ - kStartWindow) starts_.pop_front();
     note_lateness(took / seconds(q.objective()));
     double& wait = q.read_time > Duration(0) ? wait_pair_ : wait_mixed_;
     const double part = took / seconds(q.objective());
@@ -839,7 +842,9 @@
       q.ran_cell = h != nullptr ? h->cell : -1;
     }
     if (o.verdict != Verdict::kRead && o.verdict != Verdict::kFull) q.tried.push_back(o.host);
-    if (o.verdict == Verdict::kFull && o.note == 1) state_gone(q);  // read anew
+    const bool lost =
+        o.verdict == Verdict::kFull || o.verdict == Verdict::kError || o.verdict == Verdict::kReset;
+    if (lost && o.note == 1) state_gone(q);  // read anew
     q.phase = q.state_held ? Phase::kNeedsWriter : Phase::kNeedsRead;
     const bool unsafe = q.cls->repeat == Repeat::kUnsafe && q.maybe_ran;
     unsafe || o.verdict == Verdict::kNeverSent ? give_up(q) : route(q);
@@ -859,7 +864,7 @@
     } else if (v == Verdict::kFull && o.note != 1) {
       note_full(h, q);
     } else if (v == Verdict::kError || v == Verdict::kConnectFailed || v == Verdict::kReset) {
-      note_failure(h, v);
+      note_failure(h, v, v == Verdict::kError && o.note == 1);
     } else if ((v == Verdict::kTimeout && phase != Phase::kStreaming) ||
                (v == Verdict::kCancelled && !q.ended)) {
       if (stands_out(q, o.elapsed)) note_failure(h, Verdict::kTimeout);
--- a/tests/dispatcher/platform_test.cpp
+++ b/tests/dispatcher/platform_test.cpp
@@ -126,15 +126,98 @@
   CHECK(world.until([&] { return idle->ended; }));
 }
 
-TEST_CASE("a request that does not come whole in time is ended", "[platform]") {
+TEST_CASE("a client that says nothing or half a request hears an error or a close within 3 s", "[platform]") {
   World world(read_well, write_well);
-  auto client = world.platform_client();
-  client->send("POST /v1/chat/completions HTTP/1.1\r\nContent-Le");
+  auto silent_one = world.platform_client(), half = world.platform_client(), late = world.platform_client();
+  half->send("POST /v1/chat/completions HTTP/1.1\r\nContent-Le");
   world.settle();
-  world.advance(seconds(1));
-  world.now += seconds(21);
+  world.advance(milliseconds(1900));
+  late->send("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 9\r\n\r\n{");
+  CHECK_FALSE(silent_one->ended);
+  world.advance(milliseconds(900));
+  CHECK(silent_one->ended);
+  CHECK(half->status == 408);
+  CHECK(late->status == 408);
+  CHECK(world.platform.server().clients() == 2);  // given time to read what they were told, but not for long
+  world.advance(milliseconds(600));
+  CHECK(world.platform.server().clients() == 0);
+}
+
+TEST_CASE("clients that say nothing or never finish keep nobody out", "[server]") {
+  Clockwork work;
+  http::ServerOptions options;
+  options.most_clients = 4;
+  StandInReplica replica(
+      work, [](StandInReplica& r, SlotId client, const auto&) { r.say(client, 200, "ok"); }, options);
+  const std::string start = GENERATE("", "GET / HT");
+  std::vector<std::unique_ptr<StandInClient>> crowd;
+  const auto join = [&](int n) {
+    for (int i = 0; i < n; ++i) {
+      crowd.push_back(std::make_unique<StandInClient>(work, replica.server.local()));
+      crowd.back()->send(start);
+    }
+    work.settle();
+  };
+  StandInClient steady(work, replica.server.local());
+  steady.get("/first");
+  REQUIRE(work.until([&] { return steady.whole; }));
+  join(2);
+  work.advance(milliseconds(300));
+  join(1);
+  if (start.empty()) CHECK_FALSE(steady.ended);  // one that has asked before is of more use
+  join(20);
+  CHECK(replica.server.clients() <= 4);
+  StandInClient real(work, replica.server.local());
+  real.get("/real");
+  REQUIRE(work.until([&] { return real.answered(); }));
+  CHECK(real.status == 200);
+}
+
+TEST_CASE("bodies that come at once are bounded together", "[server]") {
+  Clockwork work;
+  http::ServerOptions options;
+  options.most_held = 1000;
+  StandInReplica replica(
+      work, [](StandInReplica& r, SlotId client, const auto&) { r.say(client, 200, "ok"); }, options);
+  StandInClient first(work, replica.server.local()), second(work, replica.server.local());
+  first.send("POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + std::string(800, 'x'));
+  work.settle();
+  second.send("POST / HTTP/1.1\r\nContent-Length: 900\r\n\r\n" + std::string(300, 'x'));
+  REQUIRE(work.until([&] { return second.answered(); }));
+  CHECK(second.status == 503);
+  first.send(std::string(100, 'x'));
+  REQUIRE(work.until([&] { return first.answered(); }));
+  CHECK(first.status == 200);
+}
+
+TEST_CASE("a request that can't be read or used reaches no replica", "[platform]") {
+  World world(read_well, write_well, kChat);
+  const auto [head, status] = GENERATE(table<std::string, int>({
+      {facts("a1", "ask") + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n", 400},
+      {facts("a1", "ask") + "Content-Length: 3\r\nTransfer-Encoding: xchunked\r\n", 400},
+      {facts("a1", "ask") + "Transfer-Encoding: gzip, chunked\r\n", 400},
+      {facts("a1", "ask") + "Content-Length: 3\r\nContent-Length: 4\r\n", 400},
+      {facts("a1", "ask") + "Content-Length: -3\r\n", 400},
+      {facts("a1", "ask") + "Content-Length: 60000000\r\n", 413},
+      {facts("a1", "ask") + "Content-Length: 99999999999999999999\r\n", 400},
+      {facts("a1", "no-such-class") + "Content-Length: 3\r\n", 400},
+      {facts("", "ask") + "Content-Length: 3\r\n", 400},
+      {facts("a1", "ask", -5) + "Content-Length: 3\r\n", 400},
+      {"X-Correlation-Id: a1\r\nX-Service-Class: ask\r\nX-Time-Left-Ms: soon\r\nContent-Length: 3\r\n", 400},
+      {"X-Correlation-Id: a1\r\nX-Service-Class: ask\r\nX-Time-Left-Ms: 99999999999\r\nContent-Length: 3\r\n",
+       400},
+      {"X-Correlation-Id: a1\r\nX-Service-Class: ask\r\nX-Facts: prompt_len=-1\r\nContent-Length: 3\r\n",
+       400},
+      {"X-Correlation-Id: a1\r\nX-Service-Class: ask\r\nX-Facts: max_out=1e9\r\nContent-Length: 3\r\n", 400},
+      {std::string(20000, 'x') + ": y\r\n", 431},
+  }));
+  INFO(head.substr(0, 300));
+  auto client = GENERATE(true, false) ? world.platform_client() : world.chat_client();
+  client->send("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\n" + head + "\r\n{}\n");
   REQUIRE(world.until([&] { return client->answered(); }));
-  CHECK(client->status == 408);
+  CHECK(client->status >= 400);
+  if (client->status != 404) CHECK((client->status == status || client->status == 400));
+  CHECK(world.total("POST", false) == 0);
 }
 
 #ifndef __SANITIZE_ADDRESS__  // the sanitizer's probes of memory need a descriptor too
@@ -229,6 +312,117 @@
   CHECK(world.until([&] { return world.pool.leases_out() == 0; }));
 }
 
+// ---- what replicas may send ----
+
+const std::string kHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string kStream = kHead + http::chunk("data: {\"a\":1}\n\n") + http::chunk("data: [DONE]\n\n");
+
+// Both writers answer with these bytes.
+struct RawWriters {
+  RawWriters(World& world, const std::string& bytes, const std::string& more = {})
+      : first(world, bytes, more), second(world, bytes, more) {
+    world.pool.hosts({{"w1", first.address(), true}, {"w2", second.address(), true}}, false);
+  }
+  int requests() const { return first.requests + second.requests; }
+  RawReplica first, second;
+};
+
+TEST_CASE("good streams may bring more than belongs to them", "[pool]") {
+  World world(read_well, write_well);
+  const std::string bytes = GENERATE(
+      "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + kStream + "0\r\n\r\n",
+      kStream + http::chunk(": X-Backend-Load: {\"x0\":\"full\",\"x1\":[]}\n\n") + "0\r\n\r\n",
+      kStream + http::chunk(": X-Backend-Load: {{{\n\n") + "0\r\n\r\n",
+      kStream + "0\r\n\r\n" + kStream + "0\r\n\r\n");
+  RawWriters writers(world, bytes);
+  auto client = world.platform_client();
+  for (const std::string id : {"a1", "a2"}) {
+    client->whole = false, client->body.clear();
+    client->post(facts(id, "command"), kBody);
+    REQUIRE(world.until([&] { return client->answered(); }));
+    CHECK(client->whole);
+    CHECK(client->status == 200);
+    CHECK(client->body.starts_with("data: {\"a\":1}\n\ndata: [DONE]\n\n"));
+    CHECK(client->body.find("HTTP/1.1") == std::string::npos);
+  }
+  CHECK(writers.requests() == 2);
+}
+
+TEST_CASE("an answer spoilt before its first event may have run", "[pool]") {
+  World world(read_well, write_well);
+  const std::string bytes = GENERATE(
+      std::string("\x01\x02 noise\r\n\r\n"), "HTTP/1.1 200 OK\r\n" + std::string(20000, 'x'),
+      "HTTP/1.1 200 OK\r\nA: b\r\n" +
+          [] {
+            std::string s;
+            for (int i = 0; i < 3000; ++i) s += "X-More: y\r\n";
+            return s;
+          }(),
+      std::string("HTTP/1.1 200 OK\r\nContent-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n"),
+      kHead + "zz\r\n", kHead + "c0000000\r\ndata: {}\n\n", kHead + "5\r\n", kHead);
+  RawWriters writers(world, bytes);
+  auto client = world.platform_client();
+  client->post(facts("a1", "command"), kBody);
+  REQUIRE(world.until([&] { return writers.requests() == 1; }));
+  world.settle();
+  world.advance(milliseconds(1100));  // what has begun and does not go on
+  REQUIRE(client->answered());
+  CHECK(client->status == 502);
+  world.advance(milliseconds(500));
+  CHECK(writers.requests() == 1);
+  CHECK(world.until([&] { return writers.first.ended + writers.second.ended == 1; }));
+  // An ask is read anew, as its state went with the first try, and then written anew.
+  auto asking = world.platform_client();
+  asking->post(facts("a2", "ask"), kBody);
+  for (int i = 0; i < 200 && !asking->answered(); ++i) world.advance(milliseconds(20));
+  CHECK(writers.requests() == 3);
+  CHECK(world.total("POST", false, "a2") == 2);
+  CHECK(asking->status == 503);
+}
+
+TEST_CASE("a stream spoilt later ends its client's connection at once", "[pool]") {
+  World world(read_well, write_well);
+  const std::string more = GENERATE("zz\r\n", "c0000000\r\nxx", "4\r\ndata: x\n\n");
+  RawWriters writers(world, kHead + http::chunk("data: {\"a\":1}\n\n"), more);
+  auto client = world.platform_client();
+  client->post(facts("a1", "ask"), kBody);
+  REQUIRE(world.until([&] { return !client->body.empty(); }));
+  writers.first.go_on(), writers.second.go_on();
+  REQUIRE(world.until([&] { return client->answered(); }));
+  CHECK(client->ended);
+  CHECK_FALSE(client->whole);
+  CHECK(writers.requests() == 1);
+  CHECK(world.until([&] { return writers.first.ended + writers.second.ended == 1; }));
+}
+
+TEST_CASE("what replicas turn away as unusable is the client's error, and nobody else's", "[pool]") {
+  World world([](StandInReplica& r, SlotId client, const StandInReplica::Seen&) { r.say(client, 400); },
+              write_well, kChat);
+  auto client = world.platform_client(), chat = world.chat_client();
+  client->post(facts("a1", "ask"), kBody);
+  chat->post("", chat_body("ask", true));
+  REQUIRE(world.until([&] { return client->answered() && chat->answered(); }));
+  CHECK(client->status == 400);
+  CHECK(chat->status == 400);
+  CHECK(world.total("POST", false) == 2);
+  CHECK(std::none_of(world.logs.begin(), world.logs.end(),
+                     [](const std::string& line) { return line.find("ejected") != std::string::npos; }));
+  CHECK(world.until([&] { return world.engine.open() == 0; }));
+}
+
+TEST_CASE("hosts that are gone are forgotten", "[pool]") {
+  World world(read_well, write_well);
+  for (int i = 0; i < 100; ++i) {
+    const std::string name = "n" + std::to_string(i);
+    world.pool.hosts({{name, world.writer().server.local(), true}}, false);
+    world.pool.hosts({{name, world.writer().server.local(), false, true}}, false);
+  }
+  CHECK(world.pool.hosts_known() == 4);
+  world.pool.hosts({}, true);
+  CHECK(world.pool.hosts_known() == 0);
+}
+
 TEST_CASE("out of connections, the oldest idle one makes room", "[pool]") {
   World world(read_well, write_well);
   auto client = world.platform_client();
--- a/tests/dispatcher/world.cpp
+++ b/tests/dispatcher/world.cpp
@@ -68,6 +68,30 @@
   }));
 }
 
+RawReplica::~RawReplica() {
+  for (const SlotId id : peers_.ids()) peers_.find(id)->connection->close();
+}
+
+void RawReplica::on_accepted(net::tcp::socket socket) {
+  const SlotId id = peers_.emplace();
+  Peer& peer = *peers_.find(id);
+  peer.connection = std::make_shared<net::Connection>(std::move(socket), 1U << 20U, 1U << 20U);
+  peer.connection->own(*this, id);
+  peer.connection->read();
+}
+
+void RawReplica::go_on() {
+  for (const SlotId id : peers_.ids()) peers_.find(id)->connection->write(more_);
+}
+
+void RawReplica::on_data(SlotId id) {
+  Peer& peer = *peers_.find(id);
+  if (peer.reader.read(peer.connection->input()) != http::Progress::kDone) return;
+  peer.reader.reset();
+  ++requests;
+  peer.connection->write(bytes_);
+}
+
 void StandInClient::post(const std::string& more, const std::string& text, const std::string& path) {
   send("POST " + path + " HTTP/1.1\r\nHost: x\r\n" + more + "Content-Length: " + std::to_string(text.size()) +
        "\r\n\r\n" + text);
--- a/tests/dispatcher/world.hpp
+++ b/tests/dispatcher/world.hpp
@@ -71,8 +71,9 @@
     std::string method, target, id, body;
   };
   using Script = std::function<void(StandInReplica&, SlotId, const Seen&)>;
-  StandInReplica(Clockwork& work, Script script)
-      : server(work.io, loopback(), *this, work.deadlines, work.clock(), {}, {}), script_(std::move(script)) {
+  StandInReplica(Clockwork& work, Script script, const http::ServerOptions& options = {})
+      : server(work.io, loopback(), *this, work.deadlines, work.clock(), options, {}),
+        script_(std::move(script)) {
     server.open();
   }
   void say(SlotId client, int status, std::string_view body = {}, bool never_ran = false) {
@@ -95,6 +96,34 @@
   Script script_;
 };
 
+// A replica that answers each request with bytes as they are, in pieces, whatever they mean.
+class RawReplica : private net::Listener::Owner, private net::Connection::Owner {
+ public:
+  RawReplica(Clockwork& work, std::string bytes, std::string more = {})
+      : bytes_(std::move(bytes)), more_(std::move(more)), listener_(work.io, loopback(), *this) {
+    listener_.open();
+    listener_.accept();
+  }
+  ~RawReplica() override;
+  net::tcp::endpoint address() const { return listener_.local(); }
+  void go_on();  // says the rest of its answer
+  int requests = 0, ended = 0;
+
+ private:
+  void on_accepted(net::tcp::socket socket) override;
+  void on_accept_failed(net::error_code) override {}
+  void on_data(SlotId id) override;
+  void on_sent(SlotId) override {}
+  void on_ended(SlotId, net::error_code) override { ++ended; }
+  std::string bytes_, more_;
+  net::Listener listener_;
+  struct Peer {
+    std::shared_ptr<net::Connection> connection;
+    http::RequestReader reader{http::kMostBody};
+  };
+  net::SlotTable<Peer> peers_;
+};
+
 // A client that sends what it is told and keeps what comes back.
 class StandInClient : private net::Connection::Owner {
  public:
