Send to a silent replica on new connections only; try an ejected writer beside its old streams

At fault: Router::usable asked for Host::idle() before the one trial request, which streams that run on never allow; Pool::take handed out pooled connections of a replica that owed an answer for seconds. On a vanished machine such a connection costs a command its whole deadline, a new one 250 ms and proves that nothing ran.

Tests show both mechanisms.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -21,10 +21,9 @@
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
-// Sixty-four descriptors stay for all that is neither a client nor a replica.
-std::size_t usable(const Config& config) {
-  return config.sockets > 128 ? config.sockets - 64 : config.sockets / 2;
-}
+// Some descriptors stay for all that is neither a client nor a replica.
+constexpr std::size_t kSpare = 32;
+std::size_t usable(const Config& config) { return config.sockets - std::min(kSpare, config.sockets / 2); }
 
 replica::Options pool_options(const Config& config) {
   replica::Options options;
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -21,6 +21,10 @@
 // The head of an answer comes with the first token: one that has begun and brings no event soon is spoilt.
 constexpr Duration kOpening = milliseconds(1000);
 
+// A replica that owes an answer and says nothing for so long may have vanished with its machine, whose open
+// connections stay silent. A new one never comes up then, so that nothing can have run.
+constexpr Duration kSuspect = milliseconds(400);
+
 constexpr std::string_view kLoadComment = ": X-Backend-Load:";
 
 std::string request_head(std::string_view method, std::string_view target) {
@@ -91,7 +95,8 @@
 
 // An idle connection that still stands, or a new one. Empty: none may be opened.
 SlotId Pool::take(const std::string& name, Host& host, Duration patience) {
-  while (!host.idle.empty()) {
+  const bool suspect = host.asked != Time{} && clock_() - host.asked > kSuspect;
+  while (!suspect && !host.idle.empty()) {
     const SlotId id = host.idle.back();
     Line& line = *lines_.find(id);
     if (line.connection->stale()) {
@@ -138,19 +143,27 @@
   line.reader.reset();
   line.framer = {};
   line.ending = {};
+  if (kind == Kind::kAttempt) ++find(line.host)->busy;
   if (line.connected) write(line);
 }
 
+void Pool::end_exchange(Line& line) {
+  if (line.kind == Kind::kAttempt) --find(line.host)->busy;
+  line.kind = Kind::kNone;
+}
+
 void Pool::write(Line& line) {
   line.connection->write(line.request);
   line.request.clear();
   line.request.shrink_to_fit();
+  Host& host = *find(line.host);
+  if (host.asked == Time{}) host.asked = clock_();
   line.connection->read();
 }
 
 void Pool::park(SlotId id) {
   Line& line = *lines_.find(id);
-  line.kind = Kind::kNone;
+  end_exchange(line);
   line.reader.reset();
   Host& host = *find(line.host);  // which is kept while it has connections
   if (host.idle.size() >= options_.most_idle || !host.ready) return drop(id);
@@ -174,6 +187,7 @@
     --idle_;
   }
   deadlines_.drop(line->limit);
+  end_exchange(*line);
   line->connection->close();
   lines_.erase(id);
   --host.lines;
@@ -316,7 +330,9 @@
 
 void Pool::read(SlotId id, Line& first) {
   if (first.kind == Kind::kNone) return drop(id);  // an idle connection has nothing to say
-  find(first.host)->heard = clock_();
+  Host& host = *find(first.host);
+  host.heard = clock_();
+  host.asked = host.busy > 0 ? host.heard : Time{};  // what is under way owes the next
   const http::Progress progress = read_answer(id, first);
   if (progress == http::Progress::kBad) return spoilt(id, first.reader.error().message());
   if (first.reader.head_done() && first.kind == Kind::kAttempt && first.reader.message().result_int() == 200)
@@ -408,6 +424,7 @@
   } else {
     drop(id);
   }
+  if (Host* h = find(host); h != nullptr && h->busy == 0) h->asked = {};
   if (kind == Kind::kAttempt && attempts_.erase(attempt) > 0) return engine_->ended(attempt, ending);
   if (kind == Kind::kHold && (status == 200 || status == 409))
     return engine_->hold_answer(attempt, host, status == 200);
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -84,6 +84,8 @@
     bool ready = false, gone = false;
     std::size_t lines = 0;  // open connections; a host that is gone is forgotten with the last of them
     Time drained{}, heard{};
+    std::size_t busy = 0;     // attempts under way
+    Time asked{};             // since when it owes a sign of life; zero: it owes none
     std::deque<SlotId> idle;  // the last used at the back
   };
   struct Lease {  // a DELETE under way
@@ -107,6 +109,7 @@
   void lost(SlotId id, Verdict verdict);
   Host* find(const std::string& name);
   void forget_gone();
+  void end_exchange(Line& line);
   void complete(SlotId id);
   core::Ending judge(Line& line);
   void park(SlotId id);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -128,6 +128,7 @@
   double near = 1;  // part of what a reader reads that is written close to it: see place_hosts
   PrefixIndex index;
   int reads = 0, streams = 0, waiting_states = 0;  // own: reading, writing; read states waiting there
+  int begun = 0;                                   // own streams that have had their first token
   double read_tokens = 0;                          // prompt tokens of own attempts still to be read there
   LoadReport report;
   Time reported_at{};
@@ -142,6 +143,7 @@
   Time ejected_until{}, full_until{}, last_alive{}, seen_at{};
   std::map<std::pair<std::string, std::string>, Time> rests;  // class and tenant turned away: until when
   bool idle() const { return reads == 0 && streams == 0; }
+  bool awaited() const { return reads + streams > begun; }  // an own attempt there has shown nothing yet
 };
 
 enum class Phase { kNeedsRead, kReading, kNeedsWriter, kWriting, kStreaming };
@@ -353,7 +355,7 @@
     if (rest != h.rests.end() && now_ < rest->second) return false;
     if (std::find(q.tried.begin(), q.tried.end(), h.host) != q.tried.end()) return false;
     if (h.ejected) {
-      if (now_ < h.ejected_until || !h.idle()) return false;
+      if (now_ < h.ejected_until || h.awaited()) return false;
       if (whole && q.cls->repeat != Repeat::kSafe) return false;
     }
     // Keyed: only where repeats are discarded, while they are remembered.
@@ -582,6 +584,7 @@
     if (Host* h = find_host(q.host); h != nullptr) {
       int& count = q.phase == Phase::kReading ? h->reads : h->streams;
       count = std::max(0, count - 1);
+      if (q.phase == Phase::kStreaming) h->begun = std::max(0, h->begun - 1);
       h->read_tokens = std::max(0.0, h->read_tokens - q.to_read);
       h->lag = 0;  // the tick finds the next oldest
     }
@@ -710,9 +713,9 @@
       Host& h = hosts_[e.host];
       if (!h.host.empty() && h.started != e.started) {  // restarted: its texts and states are gone
         act(Log{"host " + e.host + " restarted"});
-        const int reads = h.reads, streams = h.streams, states = h.waiting_states;
+        const int reads = h.reads, streams = h.streams, states = h.waiting_states, begun = h.begun;
         h = Host{};
-        h.reads = reads, h.streams = streams, h.waiting_states = states;
+        h.reads = reads, h.streams = streams, h.waiting_states = states, h.begun = begun;
       }
       if (h.host.empty()) h.last_alive = now_;
       static_cast<HostEntry&>(h) = e;
@@ -793,6 +796,7 @@
     if (Host* h = find_host(q.host); h != nullptr) {
       h->read_tokens = std::max(0.0, h->read_tokens - q.to_read);
       q.to_read = 0;
+      ++h->begun;
       observe_start(*h, q, f.elapsed);
     }
   }
--- a/tests/dispatcher/platform_test.cpp
+++ b/tests/dispatcher/platform_test.cpp
@@ -312,6 +312,29 @@
   CHECK(world.until([&] { return world.pool.leases_out() == 0; }));
 }
 
+// The machine has vanished: its open connections stay open and silent. A new one never comes up, which
+// proves that a command did not run, where a pooled one would cost the client its whole deadline.
+TEST_CASE("a replica that owes an answer and is silent gets no command on a pooled connection", "[pool]") {
+  bool vanished = false;
+  World world(read_well, [&](StandInReplica& r, SlotId client, const StandInReplica::Seen& seen) {
+    if (!vanished) write_well(r, client, seen);
+  });
+  world.engine.hosts(
+      {basaltvane::ListKind::kDelta, {{"w2", "here", "writer", 0, basaltvane::HostState::kGone, 1, {}}}});
+  auto first = world.platform_client(), second = world.platform_client(), third = world.platform_client();
+  for (auto* c : {first.get(), second.get()}) c->post(facts(c == first.get() ? "a1" : "a2", "ask"), kBody);
+  REQUIRE(world.until([&] { return first->whole && second->whole; }));
+  vanished = true;
+  world.writer(0).server.stop_accepting();
+  first->post(facts("a3", "ask"), kBody);
+  REQUIRE(world.until([&] { return world.writer(0).count("POST", "a3") == 1; }));
+  world.advance(milliseconds(500));
+  third->post(facts("a4", "command"), kBody);
+  for (int i = 0; i < 50 && !third->answered(); ++i) world.advance(milliseconds(20));
+  CHECK(third->status == 503);  // it never ran
+  CHECK(world.writer(0).count("POST", "a4") == 0);
+}
+
 // ---- what replicas may send ----
 
 const std::string kHead =
--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -48,6 +48,60 @@
       logged(h.pass(Outcome{there[0], at, 0, Verdict::kRead, milliseconds(50), false, 0, {}}), "returned"));
 }
 
+// Only keyed repeats have a window. An ask that may have run found no writer until its state had to go.
+TEST(Repeats, ASafeRequestThatMayHaveRunIsWrittenAgainLater) {
+  Harness h;
+  h.list({host("r1", "r"), host("w1", "w"), host("w2", "w")});
+  h.ask("a");
+  h.end("a", Verdict::kRead);
+  const std::string at = h.out["a"];
+  h.run(milliseconds(100));
+  h.end("a", Verdict::kReset);
+  EXPECT_NE(h.out["a"], "");
+  EXPECT_NE(h.out["a"], at);
+}
+
+// An answer that had begun took its state along; any host may spoil one without being left out for it.
+TEST(Repeats, AfterASpoiltAnswerTheStateIsReadAnewAndTheHostStays) {
+  Harness h;
+  h.list({host("r1", "r"), host("w1", "w"), host("w2", "w")});
+  h.ask("a");
+  h.end("a", Verdict::kRead);
+  const std::string at = h.out["a"];
+  h.out["a"] = "";
+  EXPECT_FALSE(
+      logged(h.pass(Outcome{"a", at, 1, Verdict::kError, milliseconds(50), false, 1, {}}), "ejected"));
+  EXPECT_EQ(h.out["a"], "r1");
+}
+
+// A writer's streams last for many seconds: waiting for their end would leave out one that has recovered.
+TEST(Health, AnEjectedWriterIsTriedWhileItsOldStreamsRun) {
+  Harness h;
+  h.list({host("r1", "r"), host("w1", "w"), host("w2", "w")});
+  std::map<std::string, std::vector<std::string>> at;  // requests by writer, all streaming
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "s" + std::to_string(i);
+    h.ask(id, "safe", i + 1);
+    h.end(id, Verdict::kRead);
+    at[h.out[id]].push_back(id);
+    h.first(id);
+  }
+  ASSERT_EQ(at.size(), 2U);
+  const std::string id = at["w1"].back();
+  h.out[id] = "";
+  h.pass(Outcome{id, "w1", 1, Verdict::kReset, {}, true, 0, {}});
+  ASSERT_GT(at["w1"].size(), 1U);
+  h.run(seconds(2));
+  int tried = 0;
+  for (int i = 0; i < 12; ++i) {
+    const std::string next = "n" + std::to_string(i);
+    h.ask(next, "safe", 50 + i);
+    h.end(next, Verdict::kRead);
+    tried += h.out[next] == "w1" ? 1 : 0;
+  }
+  EXPECT_EQ(tried, 1);  // by one request, and only one, until that is answered
+}
+
 TEST(Health, NeverEjectsMoreThanHalfOfARole) {
   Harness h;
   h.list({host("r1", "r"), host("r2", "r"), host("r3", "r"), host("r4", "r"), host("w1", "w")});
