--- a/tests/guards_test.cpp
+++ b/tests/guards_test.cpp
@@ -64,7 +64,9 @@
 
 // Only keyed repeats have a window. An ask that may have run found no writer until its state had to go.
 TEST(Repeats, ASafeRequestThatMayHaveRunIsWrittenAgainLater) {
-  Harness h;
+  Settings s = make_settings();
+  s.classes[0].window = {};  // as the settings have it for a safe class
+  Harness h(s);
   h.list({host("r1", "r"), host("w1", "w"), host("w2", "w")});
   h.ask("a");
   h.end("a", Verdict::kRead);
