Look a replica up in one place when a connection is taken; drop its idle ones once

Pool::take finds its host by name, which its callers did twice alike; Pool::hosts closed the idle connections of hosts that are not up in two loops, now in one. Behaviour stays as it is.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -90,8 +90,10 @@
 void Engine::hosts(const HostList& list) {
   if (list.kind != ListKind::kDelta) roles_.clear();
   for (const HostEntry& entry : list.entries) {
-    if (entry.state == HostState::kGone) roles_.erase(entry.host);
-    if (entry.state == HostState::kGone) continue;
+    if (entry.state == HostState::kGone) {
+      roles_.erase(entry.host);
+      continue;
+    }
     for (const HostKind& kind : settings_.kinds) {
       if (kind.name == entry.kind) roles_[entry.host] = kind.role;
     }
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -9,6 +9,7 @@
 constexpr std::size_t kMostOut = 1024 * 1024;
 constexpr std::size_t kHigh = 64 * 1024, kLow = 16 * 1024;  // queued output at which a stream waits, goes on
 constexpr Duration kAcceptRest = std::chrono::milliseconds(20);
+// So young, a connection may have its request on the way still.
 constexpr Duration kGrace = std::chrono::milliseconds(250);
 // What a client may still send after its last answer, to be thrown away. TCP holds back what is beyond.
 constexpr std::size_t kMostDiscarded = kMostBody;
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -72,15 +72,14 @@
   }
   for (const Address& a : addresses) {
     Host& host = hosts_[a.host];
-    // Connections to where it listened before, or that it would rather see closed, serve no more.
-    if (host.endpoint != a.endpoint || !a.ready) drop_idle(host);
+    if (host.endpoint != a.endpoint) drop_idle(host);  // to where it listened before
     host.endpoint = a.endpoint;
     if (host.ready && !a.ready) host.drained = clock_();
     host.ready = a.ready;
     host.gone = a.gone;
   }
   for (auto& [name, host] : hosts_) {
-    if (!host.ready) drop_idle(host);
+    if (!host.ready) drop_idle(host);  // it would rather see them closed
   }
   forget_gone();
 }
@@ -98,7 +97,10 @@
 // ---- lines ----
 
 // An idle connection that still stands, or a new one. Empty: none may be opened.
-SlotId Pool::take(const std::string& name, Host& host, Duration patience) {
+SlotId Pool::take(const std::string& name, Duration patience) {
+  Host* found = find(name);
+  if (found == nullptr) return {};
+  Host& host = *found;
   const Time now = clock_();
   const bool suspect = host.asked != Time{} && now - host.asked > kSuspect;
   const bool distrust = reuse_failed_ != Time{} && now - reuse_failed_ < kDistrust;
@@ -204,8 +206,7 @@
 
 void Pool::send(AttemptId attempt, const std::string& name, std::shared_ptr<const core::Message> message,
                 Time not_past) {
-  Host* host = find(name);
-  const SlotId id = host != nullptr ? take(name, *host, options_.connect_timeout) : SlotId{};
+  const SlotId id = take(name, options_.connect_timeout);
   if (!id) return fail_later(attempt);
   Line& line = *lines_.find(id);
   line.attempt = attempt;
@@ -247,8 +248,7 @@
 // ---- leases ----
 
 void Pool::hold(AttemptId attempt, const std::string& name, const std::string& request) {
-  Host* host = find(name);
-  const SlotId id = host != nullptr ? take(name, *host, options_.connect_timeout) : SlotId{};
+  const SlotId id = take(name, options_.connect_timeout);
   if (!id) return;
   Line& line = *lines_.find(id);
   line.attempt = attempt;
@@ -287,7 +287,7 @@
       return;
     }
     lease.tried.insert(*best_name);
-    const SlotId line_id = take(*best_name, *best, options_.lease_patience);
+    const SlotId line_id = take(*best_name, options_.lease_patience);
     if (!line_id) continue;
     lease.line = line_id;
     Line& line = *lines_.find(line_id);
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -99,7 +99,7 @@
   void on_sent(SlotId id) override;
   void on_ended(SlotId id, net::error_code error) override;
 
-  SlotId take(const std::string& host, Host& to, Duration patience);
+  SlotId take(const std::string& host, Duration patience);
   void start(SlotId id, Kind kind, std::string request);
   void write(Line& line);
   void read(SlotId id, Line& line);
