Give operators a second address; the module leaves out the replicas that they name

Ruled out: late answers under load. There was no listener at all (app/config.cpp read no console), and nothing but discovery's list reached Router::usable. Change: package console on an http::Server of its own with one request a connection, 12 connections and as many reserved descriptors; the event Maintenance in the module, which keeps the operators' word by id beside the list; Pool::maintain, which ends unsent what still waits for a connection there. A host that is back is cold from then on and gets the next request that its cold budget allows. A restart told by discovery no longer forgets what was sent of the cold budget. Ejections of a host while it is offline (it is restarted then) are logged as before and end with its way back.

--- a/include/basaltvane/router.hpp
+++ b/include/basaltvane/router.hpp
@@ -144,7 +144,14 @@
 struct Timer {
   std::uint64_t tag{};
 };
-using Event = std::variant<HostList, Request, Outcome, FirstToken, HoldAnswer, ClientGone, Timer>;
+// The operators' word on a host, which goes before every list: offline, it gets nothing new until it is
+// online again, also where it leaves and returns meanwhile. Repeats change nothing.
+struct Maintenance {
+  std::string host;
+  bool offline{};
+};
+using Event =
+    std::variant<HostList, Request, Outcome, FirstToken, HoldAnswer, ClientGone, Timer, Maintenance>;
 
 // ---- actions ----
 
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -61,7 +61,8 @@
 
 Environment read_environment() {
   Environment environment;
-  for (const char* name : {"PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONFIG"}) {
+  for (const char* name :
+       {"PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONSOLE", "PROXY_CONFIG"}) {
     if (const char* value = std::getenv(name); value != nullptr && *value != '\0') environment[name] = value;
   }
   return environment;
@@ -81,6 +82,8 @@
   config.name = text(object, "name", environment, "PROXY_NAME");
   config.listen = endpoint(text(object, "listen", environment, "PROXY_LISTEN"), "listen");
   config.discovery = endpoint(text(object, "discovery", environment, "PROXY_DISCOVERY"), "discovery");
+  const std::string console = text(object, "console", environment, "PROXY_CONSOLE");
+  if (!console.empty()) config.console = endpoint(console, "console");
   config.seed = parse_seed(object);
   if (const Json* limits = member(object, "limits")) {
     if (!limits->is_object()) throw ConfigError("field 'limits': object expected");
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -22,6 +22,7 @@
 struct Config {
   std::string name;
   net::tcp::endpoint listen, discovery;
+  std::optional<net::tcp::endpoint> console;  // the operators' address; none: off
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;
   basaltvane::Settings settings;
@@ -32,7 +33,8 @@
 using Environment = std::map<std::string, std::string>;
 Environment read_environment();
 
-// PROXY_CONFIG names the JSON file; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before what it says.
+// PROXY_CONFIG names the JSON file; PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_CONSOLE go before
+// what it says.
 Config parse_config(const std::string& text, const Environment& environment);  // throws ConfigError
 Config load_config(const Environment& environment);                            // throws ConfigError
 // The same file read again under way. Here its discovery goes before the environment's, which is as old as
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -21,8 +21,9 @@
   return at.address().to_string() + ":" + std::to_string(at.port());
 }
 
-// Some descriptors stay for all that is neither a client nor a replica.
-constexpr std::size_t kSpare = 32;
+// Some descriptors stay for all that is neither a client nor a replica: the operators' callers have theirs
+// however many of the others there are.
+constexpr std::size_t kSpare = 32 + console::kMostCallers;
 std::size_t usable(const Config& config) { return config.sockets - std::min(kSpare, config.sockets / 2); }
 
 replica::Options pool_options(const Config& config) {
@@ -66,6 +67,13 @@
     chat_.emplace(loop.io(), *chat_config_, engine_, loop.deadlines(), loop.clock(), config.seed,
                   server_options(config, 2), [this] { return pool_.shed(); });
   }
+  if (config.console) {
+    console_.emplace(
+        loop.io(), *config.console, loop.deadlines(), loop.clock(),
+        console::Calls{[this] { return ready(); },
+                       [this](const std::string& host, bool offline) { return maintain(host, offline); }},
+        [this] { return pool_.shed(); });
+  }
   const auto pair = vrrp.empty() ? std::nullopt : vrrp::parse_config(vrrp);
   if (!pair) return;
   if (!chat_) throw ConfigError("vrrp: field 'listen': set, but the chat front that it is for is off");
@@ -90,6 +98,10 @@
   } else if (chat_) {
     chat_->server().open();
   }
+  if (console_) {
+    console_->open();
+    log_("console on " + text(console_->local()));
+  }
   log_("serving on " + text(config_.listen) + " as " + config_.name);
   if (chat_ && !vrrp_) log_("chat front on " + text(chat_->server().local()));
 }
@@ -152,6 +164,19 @@
   }
 }
 
+bool Dispatcher::ready() { return platform_.server().is_open() && !draining_ && engine_.hosts_known() > 0; }
+
+// The module hears of it first: what the pool gives back then goes elsewhere.
+bool Dispatcher::maintain(const std::string& host, bool offline) {
+  if (!engine_.knows(host) && !offline_.contains(host)) return false;
+  const bool news = offline ? offline_.insert(host).second : offline_.erase(host) > 0;
+  if (!news) return true;
+  log_("operators: host " + host + (offline ? " offline" : " online"));
+  engine_.maintain(host, offline);
+  pool_.maintain(host, offline);
+  return true;
+}
+
 void Dispatcher::apply(const discovery::Servers& servers) {
   pool_.hosts(servers.addresses, servers.whole);
   engine_.hosts(servers.list);
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -5,12 +5,14 @@
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
 #include "app/config.hpp"
 #include "app/loop.hpp"
 #include "chat/front.hpp"
+#include "console/console.hpp"
 #include "core/engine.hpp"
 #include "discovery/watch.hpp"
 #include "platform/front.hpp"
@@ -35,11 +37,14 @@
   void reload();  // as SIGHUP asks: all of the new files takes effect or, where one is bad, nothing
   void drain();   // as SIGTERM asks: takes what still comes for a while, finishes everything, ends the loop
   net::tcp::endpoint address() { return platform_.server().local(); }
+  net::tcp::endpoint console() const { return console_->local(); }
 
  private:
   void apply(const discovery::Servers& servers);
   void await_signal();
   void adopt(const Files& files);
+  bool ready();
+  bool maintain(const std::string& host, bool offline);
   void front_chat(bool active);
   void finish_draining();
   std::vector<http::Server*> servers();
@@ -53,9 +58,11 @@
   core::Engine engine_;
   platform::Front platform_;
   std::optional<chat::Front> chat_;
+  std::optional<console::Console> console_;
   discovery::Watch watch_;
   std::optional<vrrp::Speaker> vrrp_;
-  bool fronting_ = false;  // this instance of the pair answers at the chat address
+  bool fronting_ = false;          // this instance of the pair answers at the chat address
+  std::set<std::string> offline_;  // replicas that operators left out
   boost::asio::signal_set signals_;
   bool draining_ = false;
 };
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -61,7 +61,9 @@
   const app::Config config = load(path);
   const auto ms = [](core::Duration d) { return std::to_string(d.count() / 1000) + " ms"; };
   std::cout << "name " << config.name << "\nlisten " << config.listen << "\ndiscovery " << config.discovery
-            << "\nsockets " << config.sockets << "\nmemory_mb " << config.memory_mb << "\nconnect timeout "
+            << "\nconsole ";
+  config.console ? std::cout << *config.console : std::cout << "off";
+  std::cout << "\nsockets " << config.sockets << "\nmemory_mb " << config.memory_mb << "\nconnect timeout "
             << ms(config.settings.connect_timeout) << "\nidle close " << ms(config.settings.idle_close)
             << "\npin limit " << ms(config.settings.pin_limit) << "\n";
   for (const auto& c : config.settings.classes)
--- /dev/null
+++ b/src/console/console.cpp
@@ -0,0 +1,72 @@
+#include "console/console.hpp"
+
+#include <algorithm>
+#include <cctype>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace bitternferry::console {
+
+namespace {
+
+constexpr std::string_view kReady = "/control/ready", kReplicas = "/control/replicas/";
+constexpr std::size_t kMostId = 128;
+
+// Callers wait a second at most. One that takes longer to finish its call has no use for the answer.
+http::ServerOptions options() {
+  using std::chrono::milliseconds;
+  http::ServerOptions o;
+  o.most_clients = kMostCallers;
+  o.most_held = 64 * 1024;  // no call has a body; what is sent all the same must cost little
+  o.greeting = o.arrival = o.stall = milliseconds(1000);
+  o.linger = milliseconds(200);
+  o.one_request = true;
+  return o;
+}
+
+bool id_character(unsigned char c) {
+  return std::isalnum(c) != 0 || c == '-' || c == '_' || c == '.' || c == ':' || c == '~';
+}
+
+std::string text(const nlohmann::json& object) {
+  return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
+}
+
+}  // namespace
+
+std::optional<Order> parse_order(std::string_view path) {
+  if (!path.starts_with(kReplicas)) return std::nullopt;
+  path.remove_prefix(kReplicas.size());
+  const std::size_t slash = path.find('/');
+  if (slash == std::string_view::npos || slash == 0 || slash > kMostId) return std::nullopt;
+  const std::string_view host = path.substr(0, slash), word = path.substr(slash + 1);
+  if (!std::all_of(host.begin(), host.end(), id_character)) return std::nullopt;
+  if (word != "offline" && word != "online") return std::nullopt;
+  return Order{std::string(host), word == "offline"};
+}
+
+Console::Console(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Deadlines& deadlines,
+                 core::Clock clock, Calls calls, std::function<bool()> shed)
+    : server_(io, at, *this, deadlines, std::move(clock), options(), std::move(shed)),
+      calls_(std::move(calls)) {}
+
+void Console::on_request(net::SlotId client, http::Server::Request& request, core::Time) {
+  const auto method = request.method_string(), target = request.target();
+  const std::string_view path = std::string_view(target.data(), target.size());
+  const auto order = parse_order(path);
+  if (path != kReady && !order) return server_.error(client, 404, "no such call");
+  const std::string wanted = order ? "POST" : "GET";
+  if (std::string_view(method.data(), method.size()) != wanted)
+    return server_.error(client, 405, "this call takes " + wanted, {{"Allow", wanted}});
+  if (!order) {
+    const bool ready = calls_.ready();
+    return server_.answer(client, ready ? 200 : 503, "application/json", text({{"ready", ready}}));
+  }
+  if (!calls_.maintain(order->host, order->offline)) return server_.error(client, 404, "no such replica");
+  server_.answer(client, 200, "application/json",
+                 text({{"replica", order->host}, {"state", order->offline ? "offline" : "online"}}));
+}
+
+std::string Console::error_body(int, std::string_view what) { return text({{"error", what}}); }
+
+}  // namespace bitternferry::console
--- /dev/null
+++ b/src/console/console.hpp
@@ -0,0 +1,51 @@
+// The operators' address: whether this process is ready, and which replicas are left out. Decides nothing.
+#ifndef BITTERNFERRY_CONSOLE_CONSOLE_HPP_
+#define BITTERNFERRY_CONSOLE_CONSOLE_HPP_
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "http/server.hpp"
+
+namespace bitternferry::console {
+
+// Connections to this address at once. Whoever is one too many takes the place of the one that has kept
+// its place longest without finishing a call.
+constexpr std::size_t kMostCallers = 12;
+
+struct Calls {
+  std::function<bool()> ready;
+  std::function<bool(const std::string& host, bool offline)> maintain;  // false: nobody has this host
+};
+
+class Console : private http::Server::Handler {
+ public:
+  Console(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Deadlines& deadlines,
+          core::Clock clock, Calls calls, std::function<bool()> shed);
+  Console(const Console&) = delete;
+  Console& operator=(const Console&) = delete;
+  void open() { server_.open(); }
+  net::tcp::endpoint local() const { return server_.local(); }
+
+ private:
+  void on_request(net::SlotId client, http::Server::Request& request, core::Time arrived) override;
+  void on_gone(net::SlotId) override {}
+  void on_room(net::SlotId) override {}
+  std::string error_body(int status, std::string_view what) override;
+
+  http::Server server_;
+  Calls calls_;
+};
+
+// What is asked for by a path such as /control/replicas/ID/offline.
+struct Order {
+  std::string host;
+  bool offline = false;
+};
+std::optional<Order> parse_order(std::string_view path);
+
+}  // namespace bitternferry::console
+
+#endif  // BITTERNFERRY_CONSOLE_CONSOLE_HPP_
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -17,6 +17,7 @@
 // A read that went astray is let go of only when the replica has had time to notice its end: a call that
 // overtook it would find nothing. Part of the pin limit.
 constexpr int kStrayPart = 4;
+constexpr std::size_t kDepartedKept = 512;
 
 }  // namespace
 
@@ -88,10 +89,12 @@
 // ---- discovery ----
 
 void Engine::hosts(const HostList& list) {
-  if (list.kind != ListKind::kDelta) roles_.clear();
+  if (list.kind != ListKind::kDelta) {
+    for (const auto& [host, role] : std::exchange(roles_, {})) depart(host);
+  }
   for (const HostEntry& entry : list.entries) {
     if (entry.state == HostState::kGone) {
-      roles_.erase(entry.host);
+      if (roles_.erase(entry.host) > 0) depart(entry.host);
       continue;
     }
     for (const HostKind& kind : settings_.kinds) {
@@ -101,6 +104,16 @@
   feed(list);
 }
 
+void Engine::depart(const std::string& host) {
+  std::erase(departed_, host);
+  departed_.push_back(host);
+  if (departed_.size() > kDepartedKept) departed_.pop_front();
+}
+
+bool Engine::knows(const std::string& host) const {
+  return roles_.contains(host) || std::find(departed_.begin(), departed_.end(), host) != departed_.end();
+}
+
 // ---- upstream ----
 
 Engine::Attempt* Engine::find_out(AttemptId attempt, Flight** flight) {
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -88,6 +88,12 @@
   // From discovery.
   void hosts(const basaltvane::HostList& list);
   void on_subscribe(std::function<void()> action) { subscribe_ = std::move(action); }
+  // Has any list had this host? Those that left lately count: they may return.
+  bool knows(const std::string& host) const;
+  std::size_t hosts_known() const { return roles_.size(); }
+
+  // From the operators: nothing new for this host until it is online again, whatever the lists say.
+  void maintain(const std::string& host, bool offline) { feed(basaltvane::Maintenance{host, offline}); }
 
   // From the upstream.
   void events(AttemptId attempt, std::string_view whole_events);  // the first call begins the stream
@@ -142,7 +148,9 @@
   bool feeding_ = false;
   net::SlotTable<Flight> requests_;
   std::unordered_map<std::string, SlotId> by_id_;
+  void depart(const std::string& host);
   std::map<std::string, basaltvane::Role> roles_;  // by host
+  std::deque<std::string> departed_;               // hosts that left the list, the last one at the back
   std::size_t unanswered_ = 0;
 };
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -164,7 +164,7 @@
     return too_much(id, client);
   client.state = State::kAnswering;
   // The answer to a HEAD would have to lack its body; closing after it keeps the client in step.
-  client.keep = progress == Progress::kDone && client.reader.keep_alive() &&
+  client.keep = progress == Progress::kDone && client.reader.keep_alive() && !options_.one_request &&
                 client.reader.message().method() != beast_http::verb::head;
   client.chunked = client.reader.message().version() >= 11;
   deadlines_.drop(client.limit);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -28,6 +28,7 @@
   Duration idle = std::chrono::seconds(60);          // a connection between requests is closed after this
   Duration stall = std::chrono::seconds(20);         // for a client to take more of its stream
   Duration linger = std::chrono::milliseconds(500);  // for a client to close after the last answer
+  bool one_request = false;                          // each connection carries one, and ends with its answer
 };
 
 class Server : private net::Connection::Owner, private net::Listener::Owner {
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -65,8 +65,7 @@
 void Pool::hosts(const std::vector<Address>& addresses, bool whole) {
   if (whole) {
     for (auto& [name, host] : hosts_) {
-      if (host.ready) host.drained = clock_();
-      host.ready = false;
+      host.listed = false;
       host.gone = true;
     }
   }
@@ -74,16 +73,32 @@
     Host& host = hosts_[a.host];
     if (host.endpoint != a.endpoint) drop_idle(host);  // to where it listened before
     host.endpoint = a.endpoint;
-    if (host.ready && !a.ready) host.drained = clock_();
-    host.ready = a.ready;
+    host.listed = a.ready;
     host.gone = a.gone;
   }
-  for (auto& [name, host] : hosts_) {
-    if (!host.ready) drop_idle(host);  // it would rather see them closed
-  }
+  for (auto& [name, host] : hosts_) review(name, host);
   forget_gone();
 }
 
+void Pool::review(const std::string& name, Host& host) {
+  const bool ready = host.listed && !offline_.contains(name);
+  if (host.ready && !ready) host.drained = clock_();
+  host.ready = ready;
+  if (!ready) drop_idle(host);  // it would rather see them closed
+}
+
+void Pool::maintain(const std::string& name, bool offline) {
+  offline ? void(offline_.insert(name)) : void(offline_.erase(name));
+  Host* host = find(name);
+  if (host == nullptr) return;
+  review(name, *host);
+  if (!offline) return;
+  for (const SlotId id : lines_.ids()) {
+    const Line* line = lines_.find(id);
+    if (line != nullptr && line->host == name && !line->connected) lost(id, Verdict::kConnectFailed, true);
+  }
+}
+
 // Replicas are replaced under new names all day: what is gone must not be kept.
 void Pool::forget_gone() {
   std::erase_if(hosts_, [](const auto& entry) { return entry.second.gone && entry.second.lines == 0; });
@@ -397,7 +412,7 @@
 }
 
 // The exchange ended without an answer.
-void Pool::lost(SlotId id, Verdict verdict) {
+void Pool::lost(SlotId id, Verdict verdict, bool blameless) {
   Line* line = lines_.find(id);
   if (line == nullptr) return;
   const Kind kind = line->kind;
@@ -406,7 +421,7 @@
   core::Ending ending = line->ending;
   ending.verdict = verdict;
   const bool made = verdict == Verdict::kConnectFailed && line->connected;
-  ending.note = line->answers || made ? 1 : 0;
+  ending.note = line->answers || made || blameless ? 1 : 0;
   if (line->reused && !line->answers) reuse_failed_ = clock_();
   drop(id);
   if (kind == Kind::kAttempt && attempts_.erase(attempt) > 0) return engine_->ended(attempt, ending);
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -47,6 +47,9 @@
        const Options& options);
   void attach(core::Engine& engine) { engine_ = &engine; }
   void hosts(const std::vector<Address>& addresses, bool whole);
+  // Offline, a host gets no first byte of anything any more: what waits for a connection there has failed
+  // without having been sent. What runs goes on.
+  void maintain(const std::string& host, bool offline);
   // Closes the oldest idle connection: descriptors are short. False: there is none.
   bool shed();
   std::size_t open() const { return lines_.size(); }
@@ -82,7 +85,8 @@
   };
   struct Host {
     net::tcp::endpoint endpoint;
-    bool ready = false, gone = false;
+    bool listed = false;               // discovery has it as up
+    bool ready = false, gone = false;  // ready: listed, and operators did not leave it out
     std::size_t lines = 0;  // open connections; a host that is gone is forgotten with the last of them
     Time drained{}, heard{};
     std::size_t busy = 0;     // attempts under way
@@ -107,8 +111,9 @@
   void pass_events(SlotId id, std::string_view bytes);
   void broke(SlotId id);
   void spoilt(SlotId id, std::string_view why);
-  void lost(SlotId id, Verdict verdict);
+  void lost(SlotId id, Verdict verdict, bool blameless = false);  // blameless: not the host's doing
   Host* find(const std::string& name);
+  void review(const std::string& name, Host& host);
   void forget_gone();
   void end_exchange(Line& line);
   void complete(SlotId id);
@@ -128,6 +133,7 @@
   core::Engine* engine_ = nullptr;
   net::SlotTable<Line> lines_;
   std::map<std::string, Host> hosts_;
+  std::set<std::string> offline_;  // by the operators' word, whether listed or not
   std::map<AttemptId, SlotId> attempts_;
   std::map<std::string, Lease> leases_;
   std::deque<SlotId> idle_order_;  // all that went idle, oldest first; may name lines that are gone
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <set>
 #include <stdexcept>
 #include <utility>
 
@@ -134,6 +135,9 @@
   Time reported_at{};
   double tokens_since_report = 0;
   std::deque<Time> sends;  // own sends while it is cold
+  HostState listed{};      // as discovery has it; state also says whether operators left it out
+  Time back{};             // when operators put it back: what they did to it meanwhile left it cold
+  bool welcome = false;    // it is back, and got nothing from here since
   // health
   double slowness = 1;  // recent times over what they are elsewhere
   double lag = 0;       // age of the oldest attempt out over what its role's norm expects
@@ -319,7 +323,10 @@
 
   // ---- cold hosts ----
 
-  bool cold(const Host& h) const { return h.started != Time{} && now_ < h.started + s_.cold_time; }
+  bool cold(const Host& h) const {
+    const Time since = std::max(h.started, h.back);
+    return since != Time{} && now_ < since + s_.cold_time;
+  }
   double power(const Host& h) const { return cold(h) ? std::max(0.1, s_.cold_share) : 1.0; }
 
   // Our part of the tip budget: what a warm peer has done for us is our part of what a warm host can do. Only
@@ -479,6 +486,7 @@
     }
     Host* best = nullptr;
     for (const Scored& c : candidates) {
+      if (c.host->welcome) return c.host;  // nothing is known to be kept there: no score would find it soon
       if (c.score < top - kTieBand) continue;
       if (best == nullptr || tie(*c.host, q.slot) > tie(*best, q.slot)) best = c.host;
     }
@@ -528,7 +536,9 @@
       return best;
     };
     const auto in_cell = [&](const Host& h) { return h.zone == reader->zone && h.cell == reader->cell; };
-    Host* best = least([](const Host&) { return 1.0; });
+    Host* best = least([](const Host& h) { return h.welcome ? 1.0 : 0.0; });
+    if (best != nullptr) return best;
+    best = least([](const Host&) { return 1.0; });
     Host* near = reader == nullptr ? nullptr : least([&](const Host& h) { return in_cell(h) ? 1.0 : 0.0; });
     if (near == nullptr) return best;
     const double leave = kLeaveCell + 1.0 / s_.router_count;  // few routers: own counts see the rest
@@ -569,6 +579,7 @@
     h.tokens_since_report += q.to_read;
     (phase == Phase::kReading ? h.reads : h.streams) += 1;
     if (cold(h)) h.sends.push_back(now_);
+    h.welcome = false;
     if (reads && h.role != Role::kWriter) learn_texts(h, q);
   }
 
@@ -707,7 +718,7 @@
     resubscribe_ = list.kind == ListKind::kFailed;
     if (resubscribe_) return;
     if (list.kind != ListKind::kDelta) {
-      for (auto& [name, h] : hosts_) h.state = HostState::kGone;
+      for (auto& [name, h] : hosts_) h.state = h.listed = HostState::kGone;
     }
     for (const HostEntry& e : list.entries) {
       const auto kind =
@@ -716,12 +727,12 @@
       Host& h = hosts_[e.host];
       if (!h.host.empty() && h.started != e.started) {  // restarted: its texts and states are gone
         act(Log{"host " + e.host + " restarted"});
-        const int reads = h.reads, streams = h.streams, states = h.waiting_states, begun = h.begun;
-        h = Host{};
-        h.reads = reads, h.streams = streams, h.waiting_states = states, h.begun = begun;
+        renew(h);
       }
       if (h.host.empty()) h.last_alive = now_;
       static_cast<HostEntry&>(h) = e;
+      h.listed = e.state;
+      h.state = allowed(h);
       if (h.weight <= 0) h.weight = 1;
       h.hash = hash_text(h.host);
       h.role = kind->role;
@@ -731,11 +742,46 @@
       const Host& h = entry.second;
       return h.state == HostState::kGone && h.idle() && h.waiting_states == 0;
     });
+    take_stock();
+  }
+
+  // Its process is another one: all that is known of it is what own requests still have there, and what was
+  // sent to it of the cold budget.
+  void renew(Host& h) const {
+    Host fresh;
+    static_cast<HostEntry&>(fresh) = h;
+    fresh.hash = h.hash, fresh.role = h.role, fresh.memory_tokens = h.memory_tokens;
+    fresh.reads = h.reads, fresh.streams = h.streams, fresh.begun = h.begun;
+    fresh.waiting_states = h.waiting_states, fresh.last_alive = now_;
+    fresh.listed = h.listed, fresh.back = h.back, fresh.welcome = h.welcome;
+    fresh.sends = std::move(h.sends);
+    h = std::move(fresh);
+  }
+
+  HostState allowed(const Host& h) const {
+    return h.listed == HostState::kReady && offline_.contains(h.host) ? HostState::kDraining : h.listed;
+  }
+
+  void take_stock() {
     place_hosts();
     readers_ = pool(Role::kReader).ready + pool(Role::kMixed).ready;
     count_warm();
   }
 
+  void on(const Maintenance& m) {
+    if (m.offline == offline_.contains(m.host)) return;
+    m.offline ? void(offline_.insert(m.host)) : void(offline_.erase(m.host));
+    Host* h = find_host(m.host);
+    if (h == nullptr) return;
+    if (!m.offline) {
+      renew(*h);
+      h->back = now_;
+      h->welcome = true;
+    }
+    h->state = allowed(*h);
+    take_stock();
+  }
+
   // All that a reader's cell can't write crosses the cell's one link, and slower to another zone. Where much
   // has to, that link jams while the reader seems well: cells without writers kept states waiting for 2 s,
   // others 40 ms (leuven-later big-1). No router sees a link often enough to measure it, so the list tells:
@@ -968,6 +1014,7 @@
   Time now_{}, born_{};
   bool begun_ = false, tick_set_ = false, resubscribe_ = false;
   std::map<std::string, Host> hosts_;
+  std::set<std::string> offline_;  // by the operators' word, whether listed or not
   std::map<std::string, Pending> requests_;
   struct Share {
     double rate = 0, left = 0;  // requests a second, and requests that may come at once
