Hand over the socket, the list and what was learned to the process that takes over

Cause of the losses: http::Server::end kept a connection whose stream had begun before the drain (keep is settled in begin), so that the old process took requests on it until SIGKILL found them; the ids lost all came on such connections. Cause at the door: close_idle closed connections that had been accepted a moment ago, their request on its way. Ruled out: the shared accept queue (0 refused or reset after those two changes), the first seconds of the new process. Change: package upgrade (Bans, Link, Partner): the listening sockets, the whole list, open ids, the module's norms, its count of results and its sends to cold hosts pass over a Unix socket in TMPDIR; bans, ids and cold sends are told while both run, and each keeps to half of the bounds. VRRP and the chat address pass on with SIGTERM without a word to the pair.

--- a/include/basaltvane/router.hpp
+++ b/include/basaltvane/router.hpp
@@ -8,6 +8,7 @@
 #ifndef BASALTVANE_ROUTER_HPP_
 #define BASALTVANE_ROUTER_HPP_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -150,8 +151,30 @@
   std::string host;
   bool offline{};
 };
-using Event =
-    std::variant<HostList, Request, Outcome, FirstToken, HoldAnswer, ClientGone, Timer, Maintenance>;
+// Two processes of one dispatcher, the one taking over from the other, share its part of every budget. What
+// one has learned, for the other to go on with ...
+struct Average {
+  double mean = 0, dev = 0.5;
+  int n = 0;
+};
+struct Knowledge {
+  struct OfHost {
+    std::string host;
+    std::vector<Time> sends;  // lately, while it is cold
+    Time back{};              // when operators put it back
+  };
+  std::array<Average, 3> starts;  // microseconds for a token of start work, by role
+  Average far;                    // ... and for a state fetched from another cell
+  std::array<int, 3> served{};    // results of the last seconds, by role
+  Time since{};                   // when it began to count them
+  std::vector<OfHost> hosts;
+};
+// ... and a request that the other one sent.
+struct SentElsewhere {
+  std::string host;
+};
+using Event = std::variant<HostList, Request, Outcome, FirstToken, HoldAnswer, ClientGone, Timer, Maintenance,
+                           Knowledge, SentElsewhere>;
 
 // ---- actions ----
 
@@ -204,6 +227,7 @@
   Router& operator=(Router&&) noexcept;
   std::vector<Action> handle(Time now, const Event& event);
   TableSizes table_sizes() const;
+  Knowledge knowledge() const;
 
  private:
   class Impl;
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -62,7 +62,7 @@
 Environment read_environment() {
   Environment environment;
   for (const char* name :
-       {"PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONSOLE", "PROXY_CONFIG"}) {
+       {"PROXY_NAME", "PROXY_LISTEN", "PROXY_DISCOVERY", "PROXY_CONSOLE", "PROXY_CONFIG", "TMPDIR"}) {
     if (const char* value = std::getenv(name); value != nullptr && *value != '\0') environment[name] = value;
   }
   return environment;
@@ -84,6 +84,7 @@
   config.discovery = endpoint(text(object, "discovery", environment, "PROXY_DISCOVERY"), "discovery");
   const std::string console = text(object, "console", environment, "PROXY_CONSOLE");
   if (!console.empty()) config.console = endpoint(console, "console");
+  if (const auto it = environment.find("TMPDIR"); it != environment.end()) config.scratch = it->second;
   config.seed = parse_seed(object);
   if (const Json* limits = member(object, "limits")) {
     if (!limits->is_object()) throw ConfigError("field 'limits': object expected");
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -23,6 +23,7 @@
   std::string name;
   net::tcp::endpoint listen, discovery;
   std::optional<net::tcp::endpoint> console;  // the operators' address; none: off
+  std::string scratch;  // a folder that a second process started beside this one shares; empty: none
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;
   basaltvane::Settings settings;
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "app/dispatcher.hpp"
 
+#include <cctype>
 #include <csignal>
 #include <string>
 
@@ -24,22 +25,36 @@
 // Some descriptors stay for all that is neither a client nor a replica: the operators' callers have theirs
 // however many of the others there are.
 constexpr std::size_t kSpare = 32 + console::kMostCallers;
-std::size_t usable(const Config& config) { return config.sockets - std::min(kSpare, config.sockets / 2); }
+// While two processes are this dispatcher, each keeps to half of what one may have.
+std::size_t usable(const Config& config, bool shared) {
+  return (config.sockets - std::min(kSpare, config.sockets / 2)) / (shared ? 2 : 1);
+}
+
+// One file of this dispatcher's in the folder that its processes share; empty where there is none.
+std::string shared_path(const Config& config, const char* suffix) {
+  if (config.scratch.empty()) return {};
+  std::string name = config.name;
+  for (char& c : name) {
+    if (std::isalnum(static_cast<unsigned char>(c)) == 0) c = '_';
+  }
+  return config.scratch + "/bitternferry-" + name + suffix;
+}
 
-replica::Options pool_options(const Config& config) {
+replica::Options pool_options(const Config& config, bool shared = false) {
   replica::Options options;
   options.connect_timeout = config.settings.connect_timeout;
   options.idle_close = config.settings.idle_close;
   options.lease_patience =
       std::max<core::Duration>(milliseconds(20), config.settings.pin_limit / kLeaseTries);
-  options.most_open = std::min<std::size_t>(options.most_open, usable(config) * 46 / 100);
+  options.most_open = std::min<std::size_t>(options.most_open, usable(config, shared) * 46 / 100);
   options.most_idle_all = std::min(options.most_idle_all, options.most_open / 2);
   return options;
 }
 
-http::ServerOptions server_options(const Config& config, std::size_t fronts) {
+http::ServerOptions server_options(const Config& config, std::size_t fronts, bool shared = false) {
   http::ServerOptions options;
-  options.most_clients = std::min<std::size_t>(options.most_clients, usable(config) * 54 / 100) / fronts;
+  options.most_clients =
+      std::min<std::size_t>(options.most_clients, usable(config, shared) * 54 / 100) / fronts;
   // A body stands in memory up to three times: as it came, to be sent again, and on its way out.
   options.most_held = config.memory_mb * kMegabyte / 8 / fronts;
   return options;
@@ -60,6 +75,8 @@
                 server_options(config, chat_config_ ? 2 : 1), [this] { return pool_.shed(); }),
       watch_(loop.io(), config.discovery, loop.deadlines(), loop.clock(), log,
              [this](const discovery::Servers& servers) { apply(servers); }),
+      bans_(shared_path(config, ".bans"), log),
+      partner_(loop.io(), shared_path(config, ".sock"), loop.deadlines(), loop.clock(), log, *this),
       signals_(loop.io(), SIGTERM, SIGINT, SIGHUP) {
   pool_.attach(engine_);
   engine_.on_subscribe([this] { watch_.restart(); });
@@ -74,11 +91,10 @@
                        [this](const std::string& host, bool offline) { return maintain(host, offline); }},
         [this] { return pool_.shed(); });
   }
-  const auto pair = vrrp.empty() ? std::nullopt : vrrp::parse_config(vrrp);
-  if (!pair) return;
-  if (!chat_) throw ConfigError("vrrp: field 'listen': set, but the chat front that it is for is off");
-  vrrp_.emplace(loop.io(), *pair, loop.deadlines(), loop.clock(), log,
-                [this](vrrp::State state) { front_chat(state == vrrp::State::kActive); });
+  engine_.attach(&partner_);
+  pair_ = vrrp.empty() ? std::nullopt : vrrp::parse_config(vrrp);
+  if (pair_ && !chat_)
+    throw ConfigError("vrrp: field 'listen': set, but the chat front that it is for is off");
 }
 
 std::vector<http::Server*> Dispatcher::servers() {
@@ -88,22 +104,89 @@
 }
 
 void Dispatcher::start() {
-  // Discovery may be silent for long: the list that was last known serves until it speaks.
-  apply(config_.known);
-  watch_.start(config_.known.seq);
   await_signal();
-  platform_.server().open();
-  if (vrrp_) {
-    vrrp_->start();  // which decides who of the pair listens at the chat address
-  } else if (chat_) {
-    chat_->server().open();
-  }
   if (console_) {
     console_->open();
     log_("console on " + text(console_->local()));
   }
+  partner_.start();
+}
+
+void Dispatcher::inherit(upgrade::Estate estate) {
+  if (!draining_) serve(std::move(estate));  // else: told to end before it began
+}
+
+void Dispatcher::serve(upgrade::Estate estate) {
+  // What operators left out goes before any list.
+  bans_.load();
+  for (const std::string& host : bans_.hosts()) {
+    log_("operators: host " + host + " still offline");
+    engine_.maintain(host, true);
+    pool_.maintain(host, true);
+  }
+  // Discovery may be silent for long: the list that was last known serves until it speaks.
+  apply(config_.known);
+  if (!estate.list.is_null()) {
+    try {
+      apply(discovery::parse_servers(estate.list));
+    } catch (const std::exception& e) {
+      log_(std::string("upgrade: the list can't be read: ") + e.what());
+    }
+  }
+  engine_.learn(estate.knowledge);
+  for (const std::string& id : estate.ids) engine_.request_elsewhere(id, true);
+  watch_.start(servers_.seq);
+  platform_.server().open(std::move(estate.listening["platform"]));
+  chat_socket_ = std::move(estate.listening["chat"]);
+  if (pair_) {
+    if (!partner_.has_elder()) speak(false);
+  } else if (chat_) {
+    chat_->server().open(std::move(chat_socket_));
+  }
   log_("serving on " + text(config_.listen) + " as " + config_.name);
-  if (chat_ && !vrrp_) log_("chat front on " + text(chat_->server().local()));
+  if (chat_ && !pair_) log_("chat front on " + text(chat_->server().local()));
+  serving_ = true;
+  partner_.serving();
+}
+
+// VRRP decides who of the pair listens at the chat address. Of two processes of one router only one speaks.
+void Dispatcher::speak(bool succeeds) {
+  if (!pair_ || vrrp_ || draining_) return;
+  try {
+    vrrp_.emplace(loop_.io(), *pair_, loop_.deadlines(), loop_.clock(), log_,
+                  [this](vrrp::State state) { front_chat(state == vrrp::State::kActive); });
+  } catch (const std::exception& e) {
+    if (!serving_) throw;
+    log_(std::string("vrrp can't speak yet: ") + e.what());
+    loop_.deadlines().add(loop_.now() + kListenAgain, [this, succeeds] { speak(succeeds); });
+    return;
+  }
+  vrrp_->start(succeeds);
+}
+
+void Dispatcher::on_vrrp(bool was_active) {
+  if (serving_) speak(was_active);
+}
+
+std::map<std::string, int> Dispatcher::listening() {
+  std::map<std::string, int> sockets;
+  if (platform_.server().is_open()) sockets["platform"] = platform_.server().listening();
+  if (chat_ && chat_->server().is_open()) sockets["chat"] = chat_->server().listening();
+  return sockets;
+}
+
+void Dispatcher::on_partners() {
+  bound();
+  if (!partner_.shared()) engine_.alone();
+  if (!partner_.has_elder() && serving_) speak(false);
+  if (draining_ && partner_.succeeded()) stop_taking();
+}
+
+void Dispatcher::bound() {
+  const bool shared = partner_.shared();
+  pool_.adopt(pool_options(config_, shared));
+  const std::size_t most = server_options(config_, servers().size(), shared).most_clients;
+  for (http::Server* server : servers()) server->bound(most);
 }
 
 void Dispatcher::await_signal() {
@@ -154,7 +237,7 @@
     return;
   }
   try {
-    chat_->server().open();
+    chat_->server().open(std::move(chat_socket_));
     log_("chat front on " + text(chat_->server().local()));
   } catch (const std::exception& e) {
     log_(std::string("chat front can't listen yet: ") + e.what());
@@ -168,16 +251,21 @@
 
 // The module hears of it first: what the pool gives back then goes elsewhere.
 bool Dispatcher::maintain(const std::string& host, bool offline) {
-  if (!engine_.knows(host) && !offline_.contains(host)) return false;
-  const bool news = offline ? offline_.insert(host).second : offline_.erase(host) > 0;
-  if (!news) return true;
+  if (!engine_.knows(host) && !bans_.contains(host)) return false;
+  order(host, offline);
+  return true;
+}
+
+void Dispatcher::order(const std::string& host, bool offline) {
+  if (!bans_.set(host, offline)) return;
   log_("operators: host " + host + (offline ? " offline" : " online"));
   engine_.maintain(host, offline);
   pool_.maintain(host, offline);
-  return true;
+  partner_.tell_ban(host, offline);
 }
 
 void Dispatcher::apply(const discovery::Servers& servers) {
+  discovery::merge(servers_, servers);
   pool_.hosts(servers.addresses, servers.whole);
   engine_.hosts(servers.list);
 }
@@ -187,25 +275,44 @@
   draining_ = true;
   log_("draining: " + std::to_string(engine_.unanswered()) + " requests unanswered");
   for (http::Server* server : servers()) server->drain();
-  if (vrrp_) vrrp_->stop();  // the other of the pair takes over at once
-  loop_.deadlines().add(loop_.now() + kKeepAccepting, [this] {
-    for (http::Server* server : servers()) {
-      server->stop_accepting();
-      server->close_idle();
-    }
-    finish_draining();
-  });
+  if (vrrp_ && partner_.succeeded()) {
+    const bool active = vrrp_->state() == vrrp::State::kActive;
+    vrrp_->leave();
+    fronting_ = false;
+    partner_.tell_vrrp(active);
+  } else if (vrrp_) {
+    vrrp_->stop();  // the other of the pair takes over at once
+  }
+  if (partner_.succeeded()) {
+    stop_taking();
+  } else {
+    loop_.deadlines().add(loop_.now() + kKeepAccepting, [this] { stop_taking(); });
+  }
+  finish_draining();
+}
+
+// Another process takes what comes now, or nobody does: clients that are told so by a close come again there.
+void Dispatcher::stop_taking() {
+  took_last_ = true;
+  for (http::Server* server : servers()) {
+    server->stop_accepting();
+    server->close_idle();
+  }
 }
 
 // Everything taken is answered, every stream passed on and every state let go of before the end.
 void Dispatcher::finish_draining() {
   std::size_t clients = 0;
-  for (const http::Server* server : servers()) clients += server->clients();
-  if (engine_.open() > 0 || clients > 0 || pool_.leases_out() > 0) {
+  for (http::Server* server : servers()) {
+    if (took_last_) server->close_idle();
+    clients += server->clients();
+  }
+  if (!took_last_ || engine_.open() > 0 || clients > 0 || pool_.leases_out() > 0) {
     loop_.deadlines().add(loop_.now() + kDrainLook, [this] { finish_draining(); });
     return;
   }
   log_("drained");
+  partner_.close();
   loop_.stop();
 }
 
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -4,8 +4,8 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <functional>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -17,17 +17,21 @@
 #include "discovery/watch.hpp"
 #include "platform/front.hpp"
 #include "replica/pool.hpp"
+#include "upgrade/bans.hpp"
+#include "upgrade/partner.hpp"
 #include "vrrp/speaker.hpp"
 
 namespace bitternferry::app {
 
+using Json = nlohmann::json;
+
 // What SIGHUP reads anew.
 struct Files {
   Config config;
   std::string chat;
 };
 
-class Dispatcher {
+class Dispatcher : private upgrade::Partner::Owner {
  public:
   using ReadAgain = std::function<Files()>;  // throws where a file can't be read or is bad
   // `chat`, `vrrp`: the texts of their files, empty where there is none. Throws where one is bad.
@@ -40,7 +44,23 @@
   net::tcp::endpoint console() const { return console_->local(); }
 
  private:
+  Json list() override { return discovery::to_json(servers_); }
+  std::map<std::string, int> listening() override;
+  std::vector<std::string> open_ids() override { return engine_.open_ids(); }
+  basaltvane::Knowledge knowledge() override { return engine_.knowledge(); }
+  void inherit(upgrade::Estate estate) override;
+  void on_ban(const std::string& host, bool offline) override { order(host, offline); }
+  void on_request(const std::string& id, bool open) override { engine_.request_elsewhere(id, open); }
+  void on_sent(const std::string& host) override { engine_.sent_elsewhere(host); }
+  void on_vrrp(bool was_active) override;
+  void on_partners() override;
+
   void apply(const discovery::Servers& servers);
+  void serve(upgrade::Estate estate);
+  void order(const std::string& host, bool offline);
+  void bound();
+  void speak(bool succeeds);
+  void stop_taking();
   void await_signal();
   void adopt(const Files& files);
   bool ready();
@@ -61,10 +81,15 @@
   std::optional<console::Console> console_;
   discovery::Watch watch_;
   std::optional<vrrp::Speaker> vrrp_;
-  bool fronting_ = false;          // this instance of the pair answers at the chat address
-  std::set<std::string> offline_;  // replicas that operators left out
+  bool fronting_ = false;  // this instance of the pair answers at the chat address
+  upgrade::Bans bans_;
+  upgrade::Partner partner_;
+  discovery::Servers servers_;  // the whole list as it is now
+  std::optional<vrrp::Config> pair_;
+  net::UniqueFd chat_socket_;  // handed over, for when this instance fronts the chat address
+  bool serving_ = false;
   boost::asio::signal_set signals_;
-  bool draining_ = false;
+  bool draining_ = false, took_last_ = false;
 };
 
 }  // namespace bitternferry::app
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -46,6 +46,7 @@
   flight.message = std::move(message);
   flight.deadline = request.client_deadline;
   by_id_[request.id] = id;
+  if (twin_ != nullptr) twin_->tell_request(request.id, true);
   ++unanswered_;
   // The router answers by the deadline by itself. Should it ever fail to, the client still gets its answer.
   flight.overdue = deadlines_.add(request.client_deadline + settings_.answer_slack, [this, id] {
@@ -114,6 +115,18 @@
   return roles_.contains(host) || std::find(departed_.begin(), departed_.end(), host) != departed_.end();
 }
 
+// ---- the other process ----
+
+std::vector<std::string> Engine::open_ids() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, slot] : by_id_) ids.push_back(id);
+  return ids;
+}
+
+void Engine::request_elsewhere(const std::string& id, bool open) {
+  open ? void(elsewhere_.insert(id)) : void(elsewhere_.erase(id));
+}
+
 // ---- upstream ----
 
 Engine::Attempt* Engine::find_out(AttemptId attempt, Flight** flight) {
@@ -241,6 +254,7 @@
   Flight* flight = requests_.find(id);
   if (flight == nullptr || !flight->answered || flight->any_out()) return;
   if (flight->letting_go != Deadlines::Id{}) return;
+  if (twin_ != nullptr) twin_->tell_request(flight->id, false);
   by_id_.erase(flight->id);
   requests_.erase(id);
 }
@@ -327,6 +341,7 @@
   }
   flight->attempts.back().limit =
       deadlines_.add(limit, [this, id, number] { give_up_attempt(id, number, Verdict::kTimeout); });
+  if (twin_ != nullptr) twin_->tell_sent(send.host);
   upstream_.drop_release(send.request);
   upstream_.send({id, number}, send.host, flight->message, limit);
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -12,6 +12,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "basaltvane/router.hpp"
@@ -82,7 +83,7 @@
                 std::shared_ptr<const Message> message);
   void client_gone(SlotId request);
   void resume(SlotId request);
-  bool in_progress(const std::string& id) const { return by_id_.contains(id); }
+  bool in_progress(const std::string& id) const { return by_id_.contains(id) || elsewhere_.contains(id); }
   bool waits(SlotId request);  // it still owes its client something
 
   // From discovery.
@@ -95,6 +96,21 @@
   // From the operators: nothing new for this host until it is online again, whatever the lists say.
   void maintain(const std::string& host, bool offline) { feed(basaltvane::Maintenance{host, offline}); }
 
+  // Between two processes of one dispatcher, of which one takes over from the other.
+  class Twin {
+   public:
+    virtual ~Twin() = default;
+    virtual void tell_request(const std::string& id, bool open) = 0;
+    virtual void tell_sent(const std::string& host) = 0;
+  };
+  void attach(Twin* twin) { twin_ = twin; }
+  basaltvane::Knowledge knowledge() const { return router_.knowledge(); }
+  void learn(const basaltvane::Knowledge& knowledge) { feed(knowledge); }
+  std::vector<std::string> open_ids() const;
+  void request_elsewhere(const std::string& id, bool open);
+  void sent_elsewhere(const std::string& host) { feed(basaltvane::SentElsewhere{host}); }
+  void alone() { elsewhere_.clear(); }
+
   // From the upstream.
   void events(AttemptId attempt, std::string_view whole_events);  // the first call begins the stream
   void ended(AttemptId attempt, const Ending& ending);
@@ -148,6 +164,8 @@
   bool feeding_ = false;
   net::SlotTable<Flight> requests_;
   std::unordered_map<std::string, SlotId> by_id_;
+  std::unordered_set<std::string> elsewhere_;  // ids in progress at the other process
+  Twin* twin_ = nullptr;
   void depart(const std::string& host);
   std::map<std::string, basaltvane::Role> roles_;  // by host
   std::deque<std::string> departed_;               // hosts that left the list, the last one at the back
--- a/src/discovery/servers.cpp
+++ b/src/discovery/servers.cpp
@@ -1,5 +1,6 @@
 #include "discovery/servers.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <stdexcept>
 
@@ -68,4 +69,46 @@
   return servers;
 }
 
+Json to_json(const Servers& servers) {
+  Json hosts = Json::array();
+  for (std::size_t i = 0; i < servers.list.entries.size(); ++i) {
+    const basaltvane::HostEntry& e = servers.list.entries[i];
+    const net::tcp::endpoint& at = servers.addresses[i].endpoint;
+    const std::string address = at.address().to_string();
+    hosts.push_back(
+        {{"host", e.host},
+         {"dial", (at.address().is_v6() ? "[" + address + "]" : address) + ":" + std::to_string(at.port())},
+         {"site", e.zone},
+         {"class", e.kind},
+         {"block", e.cell},
+         {"health", e.state == HostState::kReady      ? "up"
+                    : e.state == HostState::kDraining ? "draining"
+                                                      : "removed"},
+         {"share", e.weight},
+         {"born_ms", static_cast<double>(e.started.count()) / 1000}});
+  }
+  return {{"seq", servers.seq}, {"whole", servers.whole}, {"hosts", hosts}};
+}
+
+void merge(Servers& all, const Servers& news) {
+  if (news.whole) {
+    all = news;
+    return;
+  }
+  all.seq = news.seq;
+  for (std::size_t i = 0; i < news.list.entries.size(); ++i) {
+    const basaltvane::HostEntry& entry = news.list.entries[i];
+    const auto same = [&](const basaltvane::HostEntry& e) { return e.host == entry.host; };
+    const auto at = std::find_if(all.list.entries.begin(), all.list.entries.end(), same);
+    const auto index = at - all.list.entries.begin();
+    if (at != all.list.entries.end()) {
+      all.list.entries.erase(at);
+      all.addresses.erase(all.addresses.begin() + index);
+    }
+    if (entry.state == HostState::kGone) continue;
+    all.list.entries.push_back(entry);
+    all.addresses.push_back(news.addresses[i]);
+  }
+}
+
 }  // namespace bitternferry::discovery
--- a/src/discovery/servers.hpp
+++ b/src/discovery/servers.hpp
@@ -20,6 +20,9 @@
 
 // Throws std::invalid_argument naming the field. Fields that are not known here are skipped.
 Servers parse_servers(const nlohmann::json& object);
+nlohmann::json to_json(const Servers& servers);
+// Takes a change, or another whole list, into `all`, which stays whole.
+void merge(Servers& all, const Servers& news);
 
 }  // namespace bitternferry::discovery
 
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -1,5 +1,6 @@
 #include "http/server.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace bitternferry::http {
@@ -115,11 +116,20 @@
   if (clients_.size() < options_.most_clients && listener_.is_open()) listener_.accept();
 }
 
+void Server::bound(std::size_t most_clients) {
+  options_.most_clients = std::max<std::size_t>(1, most_clients);
+  while (clients_.size() > options_.most_clients && shed()) {
+  }
+  if (clients_.size() >= options_.most_clients) return listener_.rest();
+  if (listener_.is_open()) listener_.accept();
+}
+
 void Server::close_idle() {
   for (const SlotId id : clients_.ids()) {
     Client& client = *clients_.find(id);
-    // A request that is already here is still read and answered.
+    // A request that is already here, or on its way behind its connection, is still read and answered.
     if (client.state != State::kReading || client.reader.started() || client.connection->readable()) continue;
+    if (!client.spoke && clock_() < client.since + kGrace) continue;
     client.connection->output().empty() ? drop(id) : cut(id);
   }
 }
@@ -248,7 +258,9 @@
   if (std::exchange(client->streaming, false) && client->chunked) client->connection->write(kLastChunk);
   client->waiting = false;
   client->told_continue = false;
-  if (!client->keep) return cut(id);
+  // A stream that began before the drain promised to keep the connection; what came on it now might find
+  // nobody to finish it.
+  if (!client->keep || draining_) return cut(id);
   client->state = State::kReading;
   client->reader.reset();
   wait(id, options_.idle);
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -62,10 +62,13 @@
   void stop_accepting() { listener_.close(); }
   void close_idle();
   // Listens and accepts; throws where the address can't be had. May follow stop_accepting().
-  void open() {
-    listener_.open();
+  void open(net::UniqueFd listening = {}) {
+    if (!listener_.adopt(std::move(listening))) listener_.open();
     listener_.accept();
   }
+  int listening() { return listener_.native(); }  // the socket, for another process
+  // Fewer clients at once, or more again. Those that are there stay.
+  void bound(std::size_t most_clients);
   bool is_open() const { return listener_.is_open(); }
   bool draining() const { return draining_; }
   std::size_t clients() const { return clients_.size(); }
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -126,11 +126,25 @@
   tcp::acceptor acceptor(acceptor_.get_executor());
   acceptor.open(at_.protocol());
   acceptor.set_option(tcp::acceptor::reuse_address(true));
+  // Should the process that is being replaced not hand its socket over, both listen here for a while.
+  acceptor.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
   acceptor.bind(at_);
   acceptor.listen(asio::socket_base::max_listen_connections);
   acceptor_ = std::move(acceptor);
 }
 
+bool Listener::adopt(UniqueFd socket) {
+  if (!socket || acceptor_.is_open()) return false;
+  tcp::acceptor acceptor(acceptor_.get_executor());
+  error_code error;
+  acceptor.assign(at_.protocol(), socket.get(), error);
+  if (error) return false;
+  socket.release();
+  if (acceptor.local_endpoint(error) != at_ || error) return false;
+  acceptor_ = std::move(acceptor);
+  return true;
+}
+
 void Listener::accept() {
   wanted_ = true;
   if (accepting_ || !acceptor_.is_open()) return;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -11,6 +11,7 @@
 
 #include "net/ring_buffer.hpp"
 #include "net/slot_table.hpp"
+#include "net/unique_fd.hpp"
 
 namespace bitternferry::net {
 
@@ -71,6 +72,9 @@
   };
   Listener(boost::asio::io_context& io, const tcp::endpoint& at, Owner& owner);
   void open();  // throws boost::system::system_error, with the address in use for one
+  // Takes a socket that listens already, if it does so where this is to listen.
+  bool adopt(UniqueFd socket);
+  int native() { return acceptor_.native_handle(); }
   void accept();
   void rest() { wanted_ = false; }
   void close();
--- /dev/null
+++ b/src/net/unique_fd.hpp
@@ -0,0 +1,35 @@
+// A file descriptor that closes itself.
+#ifndef BITTERNFERRY_NET_UNIQUE_FD_HPP_
+#define BITTERNFERRY_NET_UNIQUE_FD_HPP_
+
+#include <unistd.h>
+
+#include <utility>
+
+namespace bitternferry::net {
+
+class UniqueFd {
+ public:
+  UniqueFd() = default;
+  explicit UniqueFd(int fd) : fd_(fd) {}
+  UniqueFd(UniqueFd&& other) noexcept : fd_(other.release()) {}
+  UniqueFd& operator=(UniqueFd&& other) noexcept {
+    if (this != &other) reset(other.release());
+    return *this;
+  }
+  ~UniqueFd() { reset(); }
+  explicit operator bool() const { return fd_ >= 0; }
+  int get() const { return fd_; }
+  int release() { return std::exchange(fd_, -1); }
+  void reset(int fd = -1) {
+    if (fd_ >= 0) ::close(fd_);
+    fd_ = fd;
+  }
+
+ private:
+  int fd_ = -1;
+};
+
+}  // namespace bitternferry::net
+
+#endif  // BITTERNFERRY_NET_UNIQUE_FD_HPP_
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -87,6 +87,12 @@
   if (!ready) drop_idle(host);  // it would rather see them closed
 }
 
+void Pool::adopt(const Options& options) {
+  options_ = options;
+  while (lines_.size() > options_.most_open && shed()) {
+  }
+}
+
 void Pool::maintain(const std::string& name, bool offline) {
   offline ? void(offline_.insert(name)) : void(offline_.erase(name));
   Host* host = find(name);
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -50,6 +50,8 @@
   // Offline, a host gets no first byte of anything any more: what waits for a connection there has failed
   // without having been sent. What runs goes on.
   void maintain(const std::string& host, bool offline);
+  // Other bounds and times for what is opened from now on.
+  void adopt(const Options& options);
   // Closes the oldest idle connection: descriptors are short. False: there is none.
   bool shed();
   std::size_t open() const { return lines_.size(); }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -110,9 +110,7 @@
   }
 };
 
-struct Norm {
-  double mean = 0, dev = 0.5;
-  int n = 0;
+struct Norm : Average {
   void add(double x) {
     if (n >= kMinSamples) x = std::min(x, kOutlier * mean);
     const double gain = std::max(kNormGain, 1.0 / ++n);
@@ -122,22 +120,26 @@
   bool known() const { return n >= kMinSamples; }
 };
 
-struct Host : HostEntry {
+// Of a host, what stays where its process is found to be another one.
+struct Standing {
   std::uint64_t hash = 0;
   Role role{};
   double memory_tokens = 0;
-  double near = 1;  // part of what a reader reads that is written close to it: see place_hosts
-  PrefixIndex index;
   int reads = 0, streams = 0, waiting_states = 0;  // own: reading, writing; read states waiting there
   int begun = 0;                                   // own streams that have had their first token
-  double read_tokens = 0;                          // prompt tokens of own attempts still to be read there
+  std::deque<Time> sends;                          // own sends while it is cold
+  HostState listed{};    // as discovery has it; state also says whether operators left it out
+  Time back{};           // when operators put it back: what they did to it meanwhile left it cold
+  bool welcome = false;  // it is back, and got nothing from here since
+};
+
+struct Host : HostEntry, Standing {
+  double near = 1;  // part of what a reader reads that is written close to it: see place_hosts
+  PrefixIndex index;
+  double read_tokens = 0;  // prompt tokens of own attempts still to be read there
   LoadReport report;
   Time reported_at{};
   double tokens_since_report = 0;
-  std::deque<Time> sends;  // own sends while it is cold
-  HostState listed{};      // as discovery has it; state also says whether operators left it out
-  Time back{};             // when operators put it back: what they did to it meanwhile left it cold
-  bool welcome = false;    // it is back, and got nothing from here since
   // health
   double slowness = 1;  // recent times over what they are elsewhere
   double lag = 0;       // age of the oldest attempt out over what its role's norm expects
@@ -224,6 +226,17 @@
     return sizes;
   }
 
+  Knowledge knowledge() const {
+    Knowledge k{{}, far_norm_, {}, born_, {}};
+    for (std::size_t role = 0; role < served_.size(); ++role) {
+      k.starts[role] = start_norms_[role];
+      k.served[role] = static_cast<int>(served_[role].size());
+    }
+    for (const auto& [name, h] : hosts_)
+      if (cold(h)) k.hosts.push_back({name, {h.sends.begin(), h.sends.end()}, h.back});
+    return k;
+  }
+
  private:
   void act(Action action) { actions_.push_back(std::move(action)); }
   Host* find_host(const std::string& name) {
@@ -745,16 +758,12 @@
     take_stock();
   }
 
-  // Its process is another one: all that is known of it is what own requests still have there, and what was
-  // sent to it of the cold budget.
+  // Its process is another one, so that all else that was known of it is void.
   void renew(Host& h) const {
     Host fresh;
     static_cast<HostEntry&>(fresh) = h;
-    fresh.hash = h.hash, fresh.role = h.role, fresh.memory_tokens = h.memory_tokens;
-    fresh.reads = h.reads, fresh.streams = h.streams, fresh.begun = h.begun;
-    fresh.waiting_states = h.waiting_states, fresh.last_alive = now_;
-    fresh.listed = h.listed, fresh.back = h.back, fresh.welcome = h.welcome;
-    fresh.sends = std::move(h.sends);
+    static_cast<Standing&>(fresh) = h;
+    fresh.last_alive = now_;
     h = std::move(fresh);
   }
 
@@ -768,6 +777,25 @@
     count_warm();
   }
 
+  void on(const Knowledge& k) {
+    static_cast<Average&>(far_norm_) = k.far;
+    for (std::size_t role = 0; role < served_.size(); ++role) {
+      static_cast<Average&>(start_norms_[role]) = k.starts[role];
+      for (int i = k.served[role]; i > 0; --i)
+        served_[role].push_front(now_ - scaled(kRateWindow, double(k.served[role] - i) / k.served[role]));
+    }
+    born_ = std::min(born_, k.since);
+    for (const Knowledge::OfHost& of : k.hosts) {
+      Host* h = find_host(of.host);
+      if (h != nullptr) h->sends.assign(of.sends.begin(), of.sends.end()), h->back = of.back;
+    }
+    count_warm();
+  }
+
+  void on(const SentElsewhere& s) {
+    if (Host* h = find_host(s.host); h != nullptr && cold(*h)) h->sends.push_back(now_);
+  }
+
   void on(const Maintenance& m) {
     if (m.offline == offline_.contains(m.host)) return;
     m.offline ? void(offline_.insert(m.host)) : void(offline_.erase(m.host));
@@ -1044,5 +1072,6 @@
 Router& Router::operator=(Router&&) noexcept = default;
 std::vector<Action> Router::handle(Time now, const Event& event) { return impl_->handle(now, event); }
 TableSizes Router::table_sizes() const { return impl_->table_sizes(); }
+Knowledge Router::knowledge() const { return impl_->knowledge(); }
 
 }  // namespace basaltvane
--- /dev/null
+++ b/src/upgrade/partner.hpp
@@ -0,0 +1,89 @@
+// The other process of this dispatcher while one takes over from the other: what each tells the other, in
+// typed form. Which of it binds whom is said in docs/architecture.md, "Upgrade".
+#ifndef BITTERNFERRY_UPGRADE_PARTNER_HPP_
+#define BITTERNFERRY_UPGRADE_PARTNER_HPP_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/engine.hpp"
+#include "upgrade/link.hpp"
+
+namespace bitternferry::upgrade {
+
+// What the process that serves hands to the one that takes over.
+struct Estate {
+  Json list;  // in discovery's form; null: none
+  std::vector<std::string> ids;
+  basaltvane::Knowledge knowledge;
+  std::map<std::string, net::UniqueFd> listening;  // sockets, by the front that they are for
+};
+
+Json to_json(const basaltvane::Knowledge& knowledge);
+basaltvane::Knowledge parse_knowledge(const Json& object);  // what can't be read is left at its default
+
+class Partner : public core::Engine::Twin {
+ public:
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    // The listening sockets in the estate are the owner's still: copies are sent.
+    virtual Json list() = 0;
+    virtual std::map<std::string, int> listening() = 0;
+    virtual std::vector<std::string> open_ids() = 0;
+    virtual basaltvane::Knowledge knowledge() = 0;
+    virtual void inherit(Estate estate) = 0;  // once, also where there is nobody: with an empty estate then
+    virtual void on_ban(const std::string& host, bool offline) = 0;
+    virtual void on_request(const std::string& id, bool open) = 0;
+    virtual void on_sent(const std::string& host) = 0;
+    virtual void on_vrrp(bool was_active) = 0;  // the elder left the pair, whose active one it was or not
+    virtual void on_partners() = 0;             // there is one now, or none any more, or it serves
+  };
+  // `path` empty: there never is another.
+  Partner(boost::asio::io_context& io, const std::string& path, core::Deadlines& deadlines, core::Clock clock,
+          core::Log log, Owner& owner);
+  void start();    // looks for the process to take over from
+  void serving();  // from now on another may take over from this one
+  void close();
+
+  bool shared() const { return elder_.link != nullptr || younger_.link != nullptr; }
+  bool has_elder() const { return elder_.link != nullptr; }
+  bool succeeded() const { return younger_.link != nullptr && younger_serves_; }
+  void tell_ban(const std::string& host, bool offline);
+  void tell_vrrp(bool was_active);
+  void tell_request(const std::string& id, bool open) override;
+  void tell_sent(const std::string& host) override;
+
+ private:
+  struct End : Link::Owner {
+    explicit End(Partner& p) : partner(p) {}
+    void on_message(const Json& message, Fds fds) override { partner.take(*this, message, std::move(fds)); }
+    void on_link_ended() override { partner.ended(*this); }
+    Partner& partner;
+    std::shared_ptr<Link> link;
+  };
+  void welcome(net::UniqueFd visitor);
+  void take(End& end, const Json& message, Fds fds);
+  void inherit(const Json& message, Fds fds);
+  void ended(End& end);
+  void go_on_alone();
+  void tell(const Json& message);
+
+  boost::asio::io_context& io_;
+  std::string path_;
+  core::Deadlines& deadlines_;
+  core::Clock clock_;
+  core::Log log_;
+  Owner& owner_;
+  Door door_;
+  End elder_{*this}, younger_{*this};
+  bool begun_ = false;  // the owner has its estate
+  bool younger_serves_ = false;
+  core::Deadlines::Id patience_;
+};
+
+}  // namespace bitternferry::upgrade
+
+#endif  // BITTERNFERRY_UPGRADE_PARTNER_HPP_
--- a/src/vrrp/speaker.cpp
+++ b/src/vrrp/speaker.cpp
@@ -81,9 +81,16 @@
       machine_(config.parameters),
       socket_(io, config.listen) {}
 
-void Speaker::start() {
+void Speaker::start(bool succeeds) {
   receive();
-  carry_out(machine_.startup(clock_()));
+  carry_out(machine_.startup(clock_(), succeeds));
+}
+
+void Speaker::leave() {
+  machine_.shutdown();
+  deadlines_.drop(timer_);
+  boost::system::error_code ignored;
+  socket_.close(ignored);
 }
 
 void Speaker::stop() {
--- a/src/vrrp/speaker.hpp
+++ b/src/vrrp/speaker.hpp
@@ -37,8 +37,9 @@
   using OnState = std::function<void(State)>;
   Speaker(boost::asio::io_context& io, const Config& config, core::Deadlines& deadlines, core::Clock clock,
           core::Log log, OnState on_state);
-  void start();
-  void stop();  // tells the peers
+  void start(bool succeeds = false);
+  void stop();   // tells the peers
+  void leave();  // without a word: another process of this router takes the address and its state over
   State state() const { return machine_.state(); }
   udp::endpoint local() const { return socket_.local_endpoint(); }
   void add_peer(const udp::endpoint& peer) { config_.peers.push_back(peer); }
--- a/src/vrrp/state_machine.cpp
+++ b/src/vrrp/state_machine.cpp
@@ -25,9 +25,9 @@
   timer_ = now + active_down();
 }
 
-StateMachine::Sent StateMachine::startup(Time now) {
+StateMachine::Sent StateMachine::startup(Time now, bool succeeds) {
   if (state_ != State::kInitialize) return {};
-  if (owner()) return become_active(now);
+  if (owner() || succeeds) return become_active(now);
   active_interval_cs_ = p_.interval_cs;
   become_backup(now);
   return {};
--- a/src/vrrp/state_machine.hpp
+++ b/src/vrrp/state_machine.hpp
@@ -33,7 +33,8 @@
 
   // Each returns the advertisements that are to be sent now, in order.
   using Sent = std::vector<Advertisement>;
-  Sent startup(Time now);
+  // `succeeds`: another process of this router was the active one, and has just left without a word.
+  Sent startup(Time now, bool succeeds = false);
   Sent shutdown();
   Sent timer(Time now);  // at or after next_timer()
   Sent receive(Time now, const Advertisement& advertisement, const Address& from);
--- /dev/null
+++ b/tests/dispatcher/upgrade_test.cpp
@@ -0,0 +1,314 @@
+// What two processes of one dispatcher share: bans, the link between them, and a whole upgrade.
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "app/dispatcher.hpp"
+#include "upgrade/bans.hpp"
+#include "upgrade/partner.hpp"
+#include "world.hpp"
+
+namespace bitternferry::testing {
+namespace {
+
+namespace fs = std::filesystem;
+using upgrade::Json;
+
+struct Folder {
+  Folder() {
+    std::string name = (fs::temp_directory_path() / "bitternferry-XXXXXX").string();
+    if (::mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder");
+    path = name;
+  }
+  ~Folder() { fs::remove_all(path); }
+  std::string operator/(const std::string& file) const { return path + "/" + file; }
+  std::string path;
+};
+const auto quiet = [](std::string_view) {};
+
+TEST_CASE("bans outlive their process; a damaged file is no reason not to start", "[upgrade]") {
+  Folder folder;
+  const std::string path = folder / "x.bans";
+  upgrade::Bans first(path, quiet);
+  first.load();
+  CHECK(first.set("a", true));
+  CHECK(first.set("b", true));
+  CHECK_FALSE(first.set("b", true));
+  CHECK(first.set("a", false));
+  upgrade::Bans second(path, quiet);
+  second.load();
+  CHECK(second.hosts() == std::set<std::string>{"b"});
+  CHECK(std::distance(fs::directory_iterator(folder.path), {}) == 1);  // nothing half written stays
+  std::ifstream whole(path);
+  const std::string text{std::istreambuf_iterator<char>(whole), {}};
+  std::mt19937 random(3);
+  for (std::size_t cut = 0; cut < text.size(); ++cut) {
+    std::ofstream(path, std::ios::trunc) << text.substr(0, cut);
+    int logged = 0;
+    upgrade::Bans damaged(path, [&](std::string_view) { ++logged; });
+    damaged.load();
+    CHECK(damaged.hosts().empty());
+    CHECK(logged == 1);
+  }
+  fs::remove(path);
+  fs::create_directory(path);
+  upgrade::Bans hindered(path, quiet);
+  hindered.load();
+  CHECK(hindered.set("c", true));  // binds, though it can't be kept
+}
+
+struct Ear : upgrade::Link::Owner {
+  void on_message(const Json& message, upgrade::Fds fds) override {
+    messages.push_back(message);
+    for (auto& fd : fds) descriptors.push_back(std::move(fd));
+  }
+  void on_link_ended() override { ended = true; }
+  std::vector<Json> messages;
+  upgrade::Fds descriptors;
+  bool ended = false;
+};
+
+TEST_CASE("a link carries messages and descriptors in order, and survives garbage", "[upgrade]") {
+  Clockwork work;
+  Folder folder;
+  Ear here, there;
+  CHECK(upgrade::Link::connect(work.io, folder / "s", here) == nullptr);
+  std::ofstream(folder / "s") << "stale";
+  CHECK(upgrade::Link::connect(work.io, folder / "s", here) == nullptr);
+  std::shared_ptr<upgrade::Link> far;
+  int raw = -1;
+  upgrade::Door door(work.io, folder / "s", [&](net::UniqueFd fd) {
+    raw = fd.get();
+    far = std::make_shared<upgrade::Link>(work.io, std::move(fd), there);
+    far->start();
+  });
+  REQUIRE(door.open());
+  const auto near = upgrade::Link::connect(work.io, folder / "s", here);
+  REQUIRE(near != nullptr);
+  net::tcp::acceptor listening(work.io, loopback());
+  near->send({{"n", 0}}, {listening.native_handle()});
+  for (int n = 1; n < 2000; ++n) near->send({{"n", n}, {"text", std::string(1000, 'x')}});  // past any buffer
+  REQUIRE(work.until([&] { return there.messages.size() == 2000; }));
+  for (int n = 0; n < 2000; ++n) CHECK(there.messages[static_cast<std::size_t>(n)]["n"] == n);
+  REQUIRE(there.descriptors.size() == 1);
+  net::tcp::acceptor copy(work.io, net::tcp::v4(), there.descriptors[0].release());
+  CHECK(copy.local_endpoint() == listening.local_endpoint());
+  CHECK_FALSE(near->send({{"text", std::string(600 * 1024, 'x')}}));
+  std::mt19937 random(11);
+  for (int i = 0; i < 200; ++i) {
+    std::string garbage(1 + random() % 300, ' ');
+    for (char& c : garbage) c = static_cast<char>(random() % 256);
+    ::send(raw, garbage.data(), garbage.size(), MSG_NOSIGNAL);
+  }
+  far->send({{"last", true}});
+  REQUIRE(work.until([&] { return !here.messages.empty(); }));
+  CHECK(here.messages.back().contains("last"));
+  far->close();
+  CHECK(work.until([&] { return here.ended; }));
+  CHECK_FALSE(there.ended);  // who closes hears nothing more
+  near->close();
+  door.close();
+}
+
+TEST_CASE("what a router learned passes on whole; what can't be read is left out", "[upgrade]") {
+  basaltvane::Knowledge k;
+  k.starts[1] = {12.5, 0.25, 40};
+  k.far = {3, 0.5, 9};
+  k.served = {5, 6, 0};
+  k.since = seconds(77);
+  k.hosts.push_back({"r1", {seconds(80), seconds(81)}, seconds(79)});
+  const Json object = upgrade::to_json(k);
+  const auto back = upgrade::parse_knowledge(Json::parse(object.dump()));
+  CHECK(upgrade::to_json(back) == object);
+  std::mt19937 random(5);
+  for (int i = 0; i < 300; ++i) {  // any value replaced by any other kind
+    Json bad = object.flatten();
+    auto it = bad.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(random() % bad.size()));
+    const std::vector<Json> values = {nullptr, "x", -1e300, true, 1e300};
+    it.value() = values[random() % values.size()];
+    const auto read = upgrade::parse_knowledge(bad.unflatten());
+    CHECK(read.served[0] >= 0);
+    CHECK(read.starts[1].mean >= 0);
+  }
+}
+
+TEST_CASE("a router that takes over has its elder's part of a cold host's budget, and no second one",
+          "[upgrade]") {
+  const auto list = [](core::Time started) {
+    basaltvane::HostList all{basaltvane::ListKind::kFull, {}};
+    for (const std::string host : {"r1", "r2", "w1"})
+      all.entries.push_back({host, "here", host[0] == 'r' ? "reader" : "writer", 0,
+                             basaltvane::HostState::kReady, 1, host == "r2" ? started : core::Time{}});
+    return all;
+  };
+  core::Time now = seconds(1000);
+  const bool told = GENERATE(true, false);
+  basaltvane::Router young(make_settings(), 1);
+  young.handle(now, list(now));
+  if (told) {
+    basaltvane::Knowledge k;
+    k.served = {80, 80, 0};
+    k.since = now - seconds(60);
+    k.hosts.push_back({"r2", {now - milliseconds(10), now - milliseconds(5)}, {}});
+    young.handle(now, k);
+    young.handle(now, basaltvane::SentElsewhere{"r2"});
+  }
+  young.handle(now, basaltvane::Maintenance{"r1", true});  // the cold one is all there is
+  int sent = 0;
+  for (int i = 0; i < 100; ++i) {
+    basaltvane::Request r;
+    r.id = "q" + std::to_string(i);
+    r.request_class = "ask";
+    r.client_deadline = now + seconds(6);
+    for (const auto& action : young.handle(now, r))
+      sent += std::holds_alternative<basaltvane::Send>(action) ? 1 : 0;
+  }
+  // 80 results in 8 s of one warm reader: 0.6 * 4 * 0.3 * 10 a second * 2 s, of which three are used.
+  CHECK(sent == (told ? 14 - 3 : 0));
+}
+
+// Two dispatchers on one loop, as two processes would be.
+struct Pair {
+  explicit Pair(const std::string& chat = {}, const std::string& vrrp = {}) {
+    config.name = "n1";
+    config.listen = config.discovery = loopback();
+    config.discovery.port(1);  // silent
+    config.console = loopback();
+    config.scratch = folder.path;
+    config.settings = make_settings();
+    basaltvane::HostEntry r1{"r1", "here", "reader", 0, basaltvane::HostState::kReady, 1, {}};
+    config.known.list.entries = {r1};
+    config.known.addresses = {{"r1", loopback(), true}};
+    config.known.whole = true;
+    first.emplace(loop, config, chat, vrrp, log("1 "));
+    first->start();
+    config.listen = first->address();
+    config.known = {};  // the second is told by the first
+    second.emplace(loop, config, chat, vrrp, log("2 "));
+    second->start();
+    run_until("2 serving on");
+  }
+  core::Log log(const std::string& who) {
+    return [this, who](std::string_view line) { logs.push_back(who + std::string(line)); };
+  }
+  bool logged(const std::string& start) const {
+    return std::any_of(logs.begin(), logs.end(), [&](const auto& line) { return line.starts_with(start); });
+  }
+  void run_until(const std::string& start) {
+    while (!logged(start)) {
+      if (loop.io().stopped())
+        loop.io().restart();  // the first one ended its loop, which is the second's too
+      loop.io().run_one();
+    }
+  }
+  int call(const net::tcp::endpoint& to, const std::string& method, const std::string& path) {
+    struct Caller : net::Connection::Owner {
+      void on_connected(SlotId, net::error_code) override {
+        connection->write(bytes);
+        connection->read();
+      }
+      void on_data(SlotId) override { done = reader.read(connection->input()) == http::Progress::kDone; }
+      void on_sent(SlotId) override {}
+      void on_ended(SlotId, net::error_code) override { done = true; }
+      std::shared_ptr<net::Connection> connection;
+      http::ResponseReader reader{std::nullopt};
+      std::string bytes;
+      bool done = false;
+    } caller;
+    caller.bytes = method + " " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n";
+    caller.connection = net::Connection::connect(loop.io(), to, caller, {}, 1U << 16U, 1U << 16U);
+    while (!caller.done) loop.io().run_one();
+    caller.connection->close();
+    return static_cast<int>(caller.reader.message().result_int());
+  }
+  Folder folder;
+  app::Loop loop;
+  app::Config config;
+  std::vector<std::string> logs;
+  std::optional<app::Dispatcher> first, second;
+};
+
+TEST_CASE("a second process takes over the socket, the list and the bans; the first one ends", "[upgrade]") {
+  Pair pair;
+  CHECK(pair.logged("1 upgrade: another process takes over"));
+  CHECK(pair.logged("2 upgrade: taking over"));
+  CHECK(pair.second->address() == pair.first->address());
+  CHECK(pair.call(pair.second->console(), "GET", "/control/ready") == 200);  // it has the list: r1
+  CHECK(pair.call(pair.first->console(), "POST", "/control/replicas/r1/offline") == 200);
+  pair.run_until("2 operators: host r1 offline");
+  CHECK(pair.call(pair.second->console(), "POST", "/control/replicas/r1/online") == 200);
+  pair.run_until("1 operators: host r1 online");
+  CHECK(pair.call(pair.second->console(), "POST", "/control/replicas/r2/offline") == 404);
+  pair.first->drain();  // at once: nobody is owed anything, and the socket is the second one's too
+  pair.loop.run();
+  CHECK(pair.logs.back() == "1 drained");
+  pair.first.reset();
+  pair.loop.io().restart();
+  CHECK(pair.call(pair.second->address(), "GET", "/healthz") == 200);
+  CHECK(pair.logged("2 upgrade: the process before this one has ended"));
+}
+
+TEST_CASE("of a pair's router the next process goes on as the active one, without a word",
+          "[upgrade][vrrp]") {
+  Clockwork peer;
+  boost::asio::ip::udp::socket ear(peer.io, {boost::asio::ip::address_v4::loopback(), 0});
+  Pair pair(
+      kChat,
+      R"({"listen":"127.0.0.1:0","addresses":["127.0.0.1"],"interval_cs":1,"priority":200,"peers":["127.0.0.1:)" +
+          std::to_string(ear.local_endpoint().port()) + "\"]}");
+  pair.run_until("1 vrrp: active");
+  CHECK_FALSE(pair.logged("2 vrrp"));  // one of the two speaks
+  pair.first->drain();
+  pair.run_until("2 vrrp: active");
+  CHECK_FALSE(pair.logged("2 vrrp: backup"));
+  CHECK(pair.logged("2 chat front on"));
+  ear.non_blocking(true);
+  std::array<std::uint8_t, 1500> packet{};
+  boost::system::error_code error;
+  for (std::size_t n = 0; (n = ear.receive(boost::asio::buffer(packet), 0, error)) > 0 && !error;) {
+    const auto said = vrrp::decode({packet.data(), n});
+    REQUIRE(std::holds_alternative<vrrp::Advertisement>(said));
+    CHECK(std::get<vrrp::Advertisement>(said).priority == 200);  // never 0: the partner stays backup
+  }
+}
+
+TEST_CASE("stale and damaged files in the shared folder do not stop a start", "[upgrade]") {
+  Folder folder;
+  std::ofstream(folder / "bitternferry-n1.bans") << "{\"offline\":[\"r";
+  const bool taken = GENERATE(false, true);
+  if (taken) fs::create_directory(folder / "bitternferry-n1.sock");
+  if (!taken) std::ofstream(folder / "bitternferry-n1.sock") << "not a socket";
+  app::Loop loop;
+  app::Config config;
+  config.name = "n1";
+  config.listen = config.discovery = loopback();
+  config.discovery.port(1);
+  config.scratch = folder.path;
+  config.settings = make_settings();
+  std::vector<std::string> logs;
+  app::Dispatcher dispatcher(loop, config, {}, {}, [&](std::string_view line) { logs.emplace_back(line); });
+  dispatcher.start();
+  CHECK(std::any_of(logs.begin(), logs.end(), [](const auto& l) { return l.starts_with("serving on"); }));
+}
+
+TEST_CASE("a stream that began before the drain is its connection's last answer", "[upgrade][platform]") {
+  World world(read_well, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.stream(client, {"half"}, false);
+  });
+  auto client = world.platform_client();
+  client->post(facts("a1", "ask"), R"({"model":"chat","messages":[]})");
+  REQUIRE(world.until([&] { return !client->body.empty(); }));
+  world.platform.server().drain();
+  auto& writer = world.writer(0).waiting.empty() ? world.writer(1) : world.writer(0);
+  writer.server.pass(writer.waiting.back(), "data: [DONE]\n\n");
+  writer.server.end(writer.waiting.back());
+  REQUIRE(world.until([&] { return client->ended; }));
+  CHECK(client->whole);
+}
+
+}  // namespace
+}  // namespace bitternferry::testing
