--- a/include/basaltvane/router.hpp
+++ b/include/basaltvane/router.hpp
@@ -173,8 +173,13 @@
 struct SentElsewhere {
   std::string host;
 };
+// Other settings, for the requests from now on; each open one keeps those that it came in under. They must be
+// such that a router can be made of them.
+struct NewSettings {
+  std::shared_ptr<const Settings> settings;
+};
 using Event = std::variant<HostList, Request, Outcome, FirstToken, HoldAnswer, ClientGone, Timer, Maintenance,
-                           Knowledge, SentElsewhere>;
+                           Knowledge, SentElsewhere, NewSettings>;
 
 // ---- actions ----
 
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -3,6 +3,7 @@
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
+#include <iterator>
 #include <nlohmann/json.hpp>
 #include <sstream>
 
@@ -93,7 +94,8 @@
   }
   const Json* settings = member(object, "settings");
   if (settings == nullptr || !settings->is_object()) throw ConfigError("field 'settings': object expected");
-  config.settings_text = settings->dump(-1, ' ', false, Json::error_handler_t::replace);
+  config.source = object;
+  if (member(object, "known") != nullptr) config.source["known"] = Json::object();
   try {
     config.settings = basaltvane::wire::parse_settings(*settings);
     basaltvane::Router(config.settings, 0);  // its own checks
@@ -116,6 +118,33 @@
   return config;
 }
 
+namespace {
+// The keys that all objects of an array have; of anything else, itself.
+Json common(const Json& array) {
+  Json keys;
+  for (const Json& element : array) {
+    if (!element.is_object()) return nullptr;
+    if (keys.is_null()) keys = element;
+    for (auto it = keys.begin(); it != keys.end();)
+      it = element.contains(it.key()) ? std::next(it) : keys.erase(it);
+  }
+  return keys;
+}
+}  // namespace
+
+void check_keys(const Json& before, const Json& after, const std::string& path) {
+  if (before.is_array() && after.is_array()) {
+    const Json keys = common(before);
+    for (const Json& element : after) check_keys(keys, element, path);
+  }
+  if (!before.is_object()) return;
+  for (const auto& [key, value] : before.items()) {
+    const std::string name = path.empty() ? key : path + "." + key;
+    if (!after.is_object() || !after.contains(key)) throw ConfigError("field '" + name + "' is missing");
+    check_keys(value, after.at(key), name);
+  }
+}
+
 namespace {
 std::string read_config(const Environment& environment) {
   const auto it = environment.find("PROXY_CONFIG");
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -27,7 +28,7 @@
   std::uint64_t seed = 0;
   std::size_t sockets = 1024, memory_mb = 192;
   basaltvane::Settings settings;
-  std::string settings_text;  // as they stood in the file, to tell whether another file changes them
+  nlohmann::json source;  // the file, but for its list of replicas: a later one must have all of its keys
   discovery::Servers known;
 };
 
@@ -40,7 +41,10 @@
 Config load_config(const Environment& environment);                            // throws ConfigError
 // The same file read again under way. Here its discovery goes before the environment's, which is as old as
 // the process.
-Config reload_config(Environment environment);   // throws ConfigError
+Config reload_config(Environment environment);  // throws ConfigError
+// Throws ConfigError naming a key, at any depth, that `before` has and `after` lacks. Of entries in arrays,
+// such as classes, each must have the keys that all entries had before.
+void check_keys(const nlohmann::json& before, const nlohmann::json& after, const std::string& path = {});
 std::string read_file(const std::string& path);  // throws ConfigError
 
 }  // namespace bitternferry::app
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -68,10 +68,11 @@
       config_(config),
       log_(log),
       read_again_(std::move(read_again)),
+      rules_(std::make_shared<const basaltvane::Settings>(config.settings)),
       chat_config_(chat.empty() ? std::nullopt : chat::parse_config(chat, config_.settings)),
       pool_(loop.io(), loop.deadlines(), loop.clock(), log, pool_options(config)),
-      engine_(config.settings, config.seed, pool_, loop.deadlines(), loop.clock(), log),
-      platform_(loop.io(), config.listen, engine_, config_.settings, loop.deadlines(), loop.clock(),
+      engine_(rules_, config.seed, pool_, loop.deadlines(), loop.clock(), log),
+      platform_(loop.io(), config.listen, engine_, rules_, loop.deadlines(), loop.clock(),
                 server_options(config, chat_config_ ? 2 : 1), [this] { return pool_.shed(); }),
       watch_(loop.io(), config.discovery, loop.deadlines(), loop.clock(), log,
              [this](const discovery::Servers& servers) { apply(servers); }),
@@ -185,8 +186,8 @@
 void Dispatcher::bound() {
   const bool shared = partner_.shared();
   pool_.adopt(pool_options(config_, shared));
-  const std::size_t most = server_options(config_, servers().size(), shared).most_clients;
-  for (http::Server* server : servers()) server->bound(most);
+  const http::ServerOptions options = server_options(config_, servers().size(), shared);
+  for (http::Server* server : servers()) server->bound(options.most_clients, options.most_held);
 }
 
 void Dispatcher::await_signal() {
@@ -202,7 +203,9 @@
   if (!read_again_) return;
   try {
     adopt(read_again_());
-    log_("reloaded: discovery at " + text(config_.discovery));
+    std::string classes;
+    for (const auto& c : rules_->classes) classes += " " + c.name;
+    log_("reloaded: discovery at " + text(config_.discovery) + ", classes" + classes);
   } catch (const std::exception& e) {
     log_(std::string("reload failed, the old configuration stays: ") + e.what());
   }
@@ -210,22 +213,35 @@
 
 void Dispatcher::adopt(const Files& files) {
   const Config& next = files.config;
-  const auto chat = files.chat.empty() ? std::nullopt : chat::parse_config(files.chat, config_.settings);
+  check_keys(config_.source, next.source);
+  const auto rules = std::make_shared<const basaltvane::Settings>(next.settings);
+  const auto chat = files.chat.empty() ? std::nullopt : chat::parse_config(files.chat, *rules);
+  if (chat_ && !chat) throw ConfigError("the chat front's file no longer says where to listen");
   // Nothing below throws: the new configuration is taken whole.
-  if (chat && chat_) chat_->adopt(*chat);
   std::string later;
   const auto wait = [&later](bool changed, const char* field) {
     if (changed) later.append(later.empty() ? "" : ", ").append(field);
   };
   wait(next.listen != config_.listen, "listen");
   wait(next.name != config_.name, "name");
-  wait(next.sockets != config_.sockets || next.memory_mb != config_.memory_mb, "limits");
-  wait(next.settings_text != config_.settings_text, "settings");
+  wait(next.console != config_.console, "console");
   wait(chat.has_value() != chat_config_.has_value() || (chat && chat->listen != chat_config_->listen),
        "the chat front's listen");
   if (!later.empty()) log_("reload: changed, but taking effect at the next start only: " + later);
+  const bool moved = next.discovery != config_.discovery;
+  rules_ = rules;
+  engine_.adopt(rules);
+  platform_.adopt(rules);
+  if (chat_) chat_->adopt(*chat);
+  config_.settings = next.settings;
+  config_.source = next.source;
+  config_.sockets = next.sockets;
+  config_.memory_mb = next.memory_mb;
   config_.discovery = next.discovery;
-  watch_.move(config_.discovery);
+  bound();
+  // Kinds of replicas may be new: the list is read by the new ones.
+  engine_.hosts(servers_.list);
+  if (moved) watch_.move(config_.discovery);
 }
 
 // The other of the pair may still be closing its listener at the shared address: tried until it is free.
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -73,6 +73,7 @@
   Config config_;
   core::Log log_;
   ReadAgain read_again_;
+  core::Rules rules_;
   std::optional<chat::Config> chat_config_;  // before the fronts, which share the descriptors
   replica::Pool pool_;
   core::Engine engine_;
--- a/src/chat/config.cpp
+++ b/src/chat/config.cpp
@@ -68,10 +68,11 @@
   const auto listen = object.find("listen");
   if (listen == object.end() || listen->is_null()) return std::nullopt;
   Config config;
+  config.rules = std::make_shared<const basaltvane::Settings>(settings);
   const auto endpoint = net::parse_endpoint(text(object, "listen"));
   if (!endpoint) bad("listen", "address and port expected");
   config.listen = *endpoint;
-  for (const Json& m : array(object, "models")) config.models.push_back(parse_model(m, settings));
+  for (const Json& m : array(object, "models")) config.models.push_back(parse_model(m, *config.rules));
   if (config.models.empty()) bad("models", "at least one expected");
   if (object.contains("account")) config.account = text(object, "account");
   check_account(config.account, "account", settings);
--- a/src/chat/config.hpp
+++ b/src/chat/config.hpp
@@ -2,6 +2,7 @@
 #ifndef BITTERNFERRY_CHAT_CONFIG_HPP_
 #define BITTERNFERRY_CHAT_CONFIG_HPP_
 
+#include <memory>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -28,6 +29,7 @@
 };
 
 struct Config {
+  std::shared_ptr<const basaltvane::Settings> rules;  // the models point into it
   net::tcp::endpoint listen;
   std::vector<Model> models;
   std::vector<Key> keys;  // none: every client is served, on `account`
@@ -36,7 +38,7 @@
   int default_max_tokens = 300;
 };
 
-// Empty where the file names no address: the front is off. The models point into `settings`.
+// Empty where the file names no address: the front is off.
 std::optional<Config> parse_config(const std::string& text, const basaltvane::Settings& settings);
 
 }  // namespace bitternferry::chat
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -25,14 +25,14 @@
   return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
 }
 
-Engine::Engine(const Settings& settings, std::uint64_t seed, Upstream& upstream, Deadlines& deadlines,
-               Clock clock, Log log)
-    : settings_(settings),
+Engine::Engine(Rules rules, std::uint64_t seed, Upstream& upstream, Deadlines& deadlines, Clock clock,
+               Log log)
+    : rules_(std::move(rules)),
       upstream_(upstream),
       deadlines_(deadlines),
       clock_(std::move(clock)),
       log_(std::move(log)),
-      router_(settings, seed) {}
+      router_(*rules_, seed) {}
 
 // ---- fronts ----
 
@@ -43,13 +43,14 @@
   flight.front = &front;
   flight.client = client;
   flight.id = request.id;
+  flight.rules = rules_;
   flight.message = std::move(message);
   flight.deadline = request.client_deadline;
   by_id_[request.id] = id;
   if (twin_ != nullptr) twin_->tell_request(request.id, true);
   ++unanswered_;
   // The router answers by the deadline by itself. Should it ever fail to, the client still gets its answer.
-  flight.overdue = deadlines_.add(request.client_deadline + settings_.answer_slack, [this, id] {
+  flight.overdue = deadlines_.add(request.client_deadline + rules_->answer_slack, [this, id] {
     Flight* late = requests_.find(id);
     if (late == nullptr || late->answered) return;
     log_("request " + late->id + " overdue: failed by the core");
@@ -87,6 +88,11 @@
   return flight != nullptr && !flight->answered;
 }
 
+void Engine::adopt(Rules rules) {
+  rules_ = std::move(rules);
+  feed(NewSettings{rules_});
+}
+
 // ---- discovery ----
 
 void Engine::hosts(const HostList& list) {
@@ -98,7 +104,7 @@
       if (roles_.erase(entry.host) > 0) depart(entry.host);
       continue;
     }
-    for (const HostKind& kind : settings_.kinds) {
+    for (const HostKind& kind : rules_->kinds) {
       if (kind.name == entry.kind) roles_[entry.host] = kind.role;
     }
   }
@@ -231,7 +237,7 @@
 void Engine::stray(SlotId id) {
   Flight& flight = *requests_.find(id);
   deadlines_.drop(flight.letting_go);
-  flight.letting_go = deadlines_.add(clock_() + settings_.pin_limit / kStrayPart, [this, id] {
+  flight.letting_go = deadlines_.add(clock_() + flight.rules->pin_limit / kStrayPart, [this, id] {
     Flight* stray = requests_.find(id);
     if (stray == nullptr) return;
     stray->letting_go = {};
@@ -334,7 +340,7 @@
   attempt.reads = role != roles_.end() && role->second == Role::kReader;
   flight->attempts.push_back(attempt);
   const Time limit = send.not_past == Time{} ? flight->deadline : std::min(send.not_past, flight->deadline);
-  if (flight->answered || flight->streaming || number >= settings_.max_attempts || limit <= now) {
+  if (flight->answered || flight->streaming || number >= flight->rules->max_attempts || limit <= now) {
     flight->attempts.back().out = false;
     feed(Outcome{send.request, send.host, number, Verdict::kNeverSent, {}, flight->answered, 0, {}});
     return;
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -24,6 +24,7 @@
 using basaltvane::Verdict;
 using net::SlotId;
 using Log = std::function<void(std::string_view)>;
+using Rules = std::shared_ptr<const basaltvane::Settings>;  // a snapshot: nobody changes it
 
 // What passes on to a replica. The core reads nothing of it.
 struct Message {
@@ -75,8 +76,7 @@
 
 class Engine {
  public:
-  Engine(const basaltvane::Settings& settings, std::uint64_t seed, Upstream& upstream, Deadlines& deadlines,
-         Clock clock, Log log);
+  Engine(Rules rules, std::uint64_t seed, Upstream& upstream, Deadlines& deadlines, Clock clock, Log log);
 
   // From the fronts.
   SlotId submit(Answerer& front, SlotId client, const basaltvane::Request& request,
@@ -86,6 +86,9 @@
   bool in_progress(const std::string& id) const { return by_id_.contains(id) || elsewhere_.contains(id); }
   bool waits(SlotId request);  // it still owes its client something
 
+  // Other rules for the requests from now on; the router must accept them.
+  void adopt(Rules rules);
+
   // From discovery.
   void hosts(const basaltvane::HostList& list);
   void on_subscribe(std::function<void()> action) { subscribe_ = std::move(action); }
@@ -130,6 +133,7 @@
     Answerer* front = nullptr;
     SlotId client;
     std::string id;
+    Rules rules;                             // that it came in under
     std::shared_ptr<const Message> message;  // until the stream begins: nothing is sent again after that
     Time deadline{};
     std::vector<Attempt> attempts;
@@ -153,7 +157,7 @@
   SlotId find(const std::string& id) const;
   Attempt* find_out(AttemptId attempt, Flight** flight);
 
-  basaltvane::Settings settings_;
+  Rules rules_;
   Upstream& upstream_;
   Deadlines& deadlines_;
   Clock clock_;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -116,7 +116,8 @@
   if (clients_.size() < options_.most_clients && listener_.is_open()) listener_.accept();
 }
 
-void Server::bound(std::size_t most_clients) {
+void Server::bound(std::size_t most_clients, std::size_t most_held) {
+  options_.most_held = most_held;
   options_.most_clients = std::max<std::size_t>(1, most_clients);
   while (clients_.size() > options_.most_clients && shed()) {
   }
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -67,8 +67,8 @@
     listener_.accept();
   }
   int listening() { return listener_.native(); }  // the socket, for another process
-  // Fewer clients at once, or more again. Those that are there stay.
-  void bound(std::size_t most_clients);
+  // Other bounds; the clients that are there stay.
+  void bound(std::size_t most_clients, std::size_t most_held);
   bool is_open() const { return listener_.is_open(); }
   bool draining() const { return draining_; }
   std::size_t clients() const { return clients_.size(); }
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -77,10 +77,10 @@
 }
 
 Front::Front(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Engine& engine,
-             const basaltvane::Settings& settings, core::Deadlines& deadlines, core::Clock clock,
+             core::Rules rules, core::Deadlines& deadlines, core::Clock clock,
              const http::ServerOptions& options, std::function<bool()> shed)
     : http::Front(io, at, engine, deadlines, std::move(clock), options, std::move(shed)),
-      settings_(settings) {}
+      rules_(std::move(rules)) {}
 
 void Front::on_request(SlotId client, http::Server::Request& request, core::Time arrived) {
   const auto [method, path] = route(request);
@@ -95,7 +95,7 @@
 void Front::take(SlotId client, http::Server::Request& request, core::Time arrived) {
   basaltvane::Request r;
   try {
-    r = parse_request(request, settings_, arrived);
+    r = parse_request(request, *rules_, arrived);
   } catch (const std::invalid_argument& e) {
     return server_.error(client, 400, e.what());
   }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -12,9 +12,11 @@
 
 class Front : public http::Front {
  public:
-  Front(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Engine& engine,
-        const basaltvane::Settings& settings, core::Deadlines& deadlines, core::Clock clock,
-        const http::ServerOptions& options, std::function<bool()> shed);
+  Front(boost::asio::io_context& io, const net::tcp::endpoint& at, core::Engine& engine, core::Rules rules,
+        core::Deadlines& deadlines, core::Clock clock, const http::ServerOptions& options,
+        std::function<bool()> shed);
+
+  void adopt(core::Rules rules) { rules_ = std::move(rules); }  // for the requests from now on
 
  private:
   void on_request(SlotId client, http::Server::Request& request, core::Time arrived) override;
@@ -27,7 +29,7 @@
   void fail(SlotId client, core::Failure why) override;
   void take(SlotId client, http::Server::Request& request, core::Time arrived);
 
-  const basaltvane::Settings& settings_;
+  core::Rules rules_;
 };
 
 // The request that the headers describe. Throws std::invalid_argument naming the header.
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -152,11 +152,19 @@
   bool awaited() const { return reads + streams > begun; }  // an own attempt there has shown nothing yet
 };
 
+struct Place {  // a cell, a zone or all: what it has of each
+  double readers = 0, writers = 0;
+  double near(const Place& all) const {
+    return std::min(1.0, writers * all.readers / std::max(readers * all.writers, 1e-9));
+  }
+};
+
 enum class Phase { kNeedsRead, kReading, kNeedsWriter, kWriting, kStreaming };
 
 struct Pending {
   Request r;
-  const RequestClass* cls = nullptr;
+  std::shared_ptr<const Settings> rules;  // those that it came in under
+  const RequestClass* cls = nullptr;      // among them
   Time sent{}, idle_since{}, ran_sent{};
   Phase phase = Phase::kNeedsRead;
   bool late = false;  // counted as late before its first token
@@ -186,36 +194,32 @@
 
 class Router::Impl {
  public:
-  Impl(Settings settings, std::uint64_t seed) : s_(std::move(settings)), seed_(seed) {
-    require(!s_.kinds.empty() && !s_.classes.empty(), "kinds, classes: none given");
-    require(s_.router_count >= 1 && s_.router_number >= 0, "router_count, router_number: too small");
-    require(s_.max_attempts >= 1, "max_attempts: at least 1 wanted");
-    require(s_.pin_limit.count() >= 0 && s_.drain_grace.count() >= 0, "pin_limit, drain_grace: negative");
-    require(s_.tip_window.count() >= 0 && s_.cold_time.count() >= 0, "tip_window, cold_time: negative");
-    require(s_.tip_multiple >= 0 && s_.cold_share >= 0, "tip_multiple, cold_share: negative");
-    for (const RequestClass& c : s_.classes) {
-      require(c.objective.count() > 0 && c.deadline.count() > 0,
-              "classes: objective, deadline: above 0 wanted");
-      require(c.window.count() >= 0, "classes: window negative");
-    }
-    shortest_ = std::min_element(s_.classes.begin(), s_.classes.end(), [](const auto& a, const auto& b) {
-                  return a.objective < b.objective;
-                })->objective;
-    for (const Tenant& t : s_.tenants) require(t.quota_rps >= 0, "tenants: quota negative");
+  Impl(const Settings& settings, std::uint64_t seed)
+      : s_(std::make_shared<const Settings>(settings)), seed_(seed) {
+    require(!s_->kinds.empty() && !s_->classes.empty(), "kinds, classes: none given");
+    require(s_->router_count >= 1 && s_->router_number >= 0, "router_count, router_number: too small");
+    require(s_->max_attempts >= 1, "max_attempts: at least 1 wanted");
+    const auto least = std::min({s_->pin_limit, s_->drain_grace, s_->tip_window, s_->cold_time});
+    require(least.count() >= 0, "pin_limit, drain_grace, tip_window, cold_time: negative");
+    require(s_->tip_multiple >= 0 && s_->cold_share >= 0, "tip_multiple, cold_share: negative");
+    for (const RequestClass& c : s_->classes)
+      require(c.objective.count() > 0 && c.deadline.count() > 0 && c.window.count() >= 0,
+              "classes: objective, deadline: above 0 wanted; window: not below");
+    for (const Tenant& t : s_->tenants) require(t.quota_rps >= 0, "tenants: quota negative");
   }
 
   std::vector<Action> handle(Time now, const Event& event) {
+    now_ = std::max(now_, now);
     if (!begun_) {
       begun_ = true;
       born_ = now;
-      for (const Tenant& t : s_.tenants) shares_[t.name] = {t.quota_rps / s_.router_count, kLeastBurst, now};
-      if (s_.list_by_asking) act(Subscribe{});
+      tune();
+      if (s_->list_by_asking) act(Subscribe{});
     }
-    now_ = std::max(now_, now);
     std::visit([this](const auto& e) { on(e); }, event);
     if (!tick_set_ && (!requests_.empty() || resubscribe_)) {
       tick_set_ = true;
-      act(SetTimer{std::max(kTickEvery, s_.tick), 0});
+      act(SetTimer{std::max(kTickEvery, s_->tick), 0});
     }
     return std::exchange(actions_, {});
   }
@@ -331,16 +335,16 @@
     return std::max(Duration(std::llround(expected)), scaled(q.objective(), kPatienceFloor));
   }
   bool may_repeat(const Pending& q, const Host& h) const {
-    return q.attempts < s_.max_attempts && (h.role == Role::kReader || q.cls->repeat == Repeat::kSafe);
+    return q.attempts < q.rules->max_attempts && (h.role == Role::kReader || q.cls->repeat == Repeat::kSafe);
   }
 
   // ---- cold hosts ----
 
   bool cold(const Host& h) const {
     const Time since = std::max(h.started, h.back);
-    return since != Time{} && now_ < since + s_.cold_time;
+    return since != Time{} && now_ < since + s_->cold_time;
   }
-  double power(const Host& h) const { return cold(h) ? std::max(0.1, s_.cold_share) : 1.0; }
+  double power(const Host& h) const { return cold(h) ? std::max(0.1, s_->cold_share) : 1.0; }
 
   // Our part of the tip budget: what a warm peer has done for us is our part of what a warm host can do. Only
   // results count: a storm of full answers must not raise it (ic21194). Below one request in a window a hash
@@ -349,11 +353,11 @@
   bool cold_allows(const Host& h) const {
     if (!cold(h)) return true;
     const double budget =
-        kColdCare * s_.tip_multiple * s_.cold_share * seconds(s_.tip_window) * warm_rate_[ix(h.role)];
+        kColdCare * s_->tip_multiple * s_->cold_share * seconds(s_->tip_window) * warm_rate_[ix(h.role)];
     const auto used =
-        std::count_if(h.sends.begin(), h.sends.end(), [&](Time t) { return t > now_ - s_.tip_window; });
-    const auto window = static_cast<std::uint64_t>(now_ / std::max(s_.tip_window, Duration(1)));
-    const double turn = unit(mix(h.hash ^ mix(window)) ^ mix(static_cast<std::uint64_t>(s_.router_number)));
+        std::count_if(h.sends.begin(), h.sends.end(), [&](Time t) { return t > now_ - s_->tip_window; });
+    const auto window = static_cast<std::uint64_t>(now_ / std::max(s_->tip_window, Duration(1)));
+    const double turn = unit(mix(h.hash ^ mix(window)) ^ mix(static_cast<std::uint64_t>(s_->router_number)));
     const double whole = std::floor(budget), spare = whole < 1 && mostly_warm_[ix(h.role)] ? kColdTurns : 1;
     return static_cast<double>(used) < whole + (turn < (budget - whole) * spare ? 1 : 0);
   }
@@ -467,11 +471,11 @@
       load_sum[role] += here;
       count[role] += 1;
       const bool whole = h.role == Role::kMixed;
-      if (!whole && q.attempts + 2 > s_.max_attempts) continue;
+      if (!whole && q.attempts + 2 > q.rules->max_attempts) continue;
       if (usable(h, q, whole)) candidates.push_back({&h, here, 0, 0});
     }
     for (auto& [name, h] : hosts_) {
-      if (!s_.writers_read || !candidates.empty()) break;
+      if (!s_->writers_read || !candidates.empty()) break;
       if (h.role == Role::kWriter && usable(h, q, true)) candidates.push_back({&h, 0, 0, 0});
     }
     if (candidates.empty()) return nullptr;
@@ -516,12 +520,9 @@
   // Fewest streams, in the reader's cell unless its best stands well above the mean of all writers. What many
   // routers together bring a cell, none counts: only as much stays as its part of all writing can take.
   Host* choose_writer(const Pending& q, Role role) {
-    struct Cell {
-      double readers = 0, writers = 0;
-    };
     const Host* reader = find_host(q.reader);
-    std::map<std::pair<std::string, int>, Cell> cells;
-    Cell all;
+    std::map<std::pair<std::string, int>, Place> cells;
+    Place all;
     double sum = 0;
     std::vector<Host*> candidates;
     for (auto& [name, h] : hosts_) {
@@ -535,7 +536,7 @@
       candidates.push_back(&h);
       sum += stream_load(h);
     }
-    const std::uint64_t salt = hash_text(q.r.id) ^ mix(static_cast<std::uint64_t>(s_.router_number));
+    const std::uint64_t salt = hash_text(q.r.id) ^ mix(static_cast<std::uint64_t>(s_->router_number));
     const auto least = [&](const auto& share) {  // by streams, each weighed by the part that it should get
       Host* best = nullptr;
       double least_load = 0, best_tie = 0;
@@ -554,15 +555,15 @@
     best = least([](const Host&) { return 1.0; });
     Host* near = reader == nullptr ? nullptr : least([&](const Host& h) { return in_cell(h) ? 1.0 : 0.0; });
     if (near == nullptr) return best;
-    const double leave = kLeaveCell + 1.0 / s_.router_count;  // few routers: own counts see the rest
+    const double leave = kLeaveCell + 1.0 / s_->router_count;  // few routers: own counts see the rest
     const double mean = sum / static_cast<double>(candidates.size());
     if (stream_load(*near) > std::max(leave * mean, mean + kLeaveCellStreams)) return best;
     const auto part = [](double of, double total) { return of / std::max(total, 1e-9); };
-    const Cell& cell = cells[{reader->zone, reader->cell}];
+    const Place& cell = cells[{reader->zone, reader->cell}];
     const double stay = leave * part(cell.writers, all.writers) / part(cell.readers, all.readers);
     if (cell.readers <= 0 || unit(mix(salt)) < stay) return near;
     Host* far = least([&](const Host& h) {  // what writers elsewhere can take beyond their own cell's readers
-      const Cell& c = cells[{h.zone, h.cell}];
+      const Place& c = cells[{h.zone, h.cell}];
       const double room = 1 - part(part(c.readers, all.readers), part(c.writers, all.writers));
       return in_cell(h) ? 0 : std::max(0.0, room) * (h.zone == reader->zone ? 1.0 : kOtherZone);
     });
@@ -585,7 +586,7 @@
     q.far = source != nullptr && (source->zone != h.zone || source->cell != h.cell);
     q.work = kBaseTokens + (h.role == Role::kWriter ? 0 : h.read_tokens + q.to_read);
     ++q.attempts;
-    const bool cut = !s_.may_cancel && may_repeat(q, h);  // else watch() cancels, knowing more by then
+    const bool cut = !s_->may_cancel && may_repeat(q, h);  // else watch() cancels, knowing more by then
     const Time until = cut ? now_ + patience(q, h) : q.r.client_deadline;
     act(Send{q.r.id, h.host, std::min(q.r.client_deadline, until)});
     h.read_tokens += q.to_read;
@@ -638,13 +639,13 @@
                           (q.cls->repeat == Repeat::kKeyed && q.cls->group == Group::kAll);
     if (!harmless) return act(Fail{q.r.id});
     std::optional<Duration> advice;
-    if (s_.retry_advice) advice = std::min(s_.max_retry_in, q.objective());
+    if (q.rules->retry_advice) advice = std::min(q.rules->max_retry_in, q.objective());
     act(Refuse{q.r.id, advice});
   }
 
   void route(Pending& q) {
     // An answer that is not given now may have to wait for the next tick, past the client's deadline.
-    if (q.attempts >= s_.max_attempts || now_ + lead() >= q.r.client_deadline) return give_up(q);
+    if (q.attempts >= q.rules->max_attempts || now_ + lead() >= q.r.client_deadline) return give_up(q);
     if (q.phase == Phase::kNeedsWriter) {
       Host* writer = choose_writer(q, Role::kWriter);
       if (writer == nullptr) writer = choose_writer(q, Role::kMixed);  // better than no answer
@@ -658,16 +659,16 @@
     }
     if (reader != nullptr)
       send(q, *reader, reader->role == Role::kReader ? Phase::kReading : Phase::kWriting);
-    else if (q.attempts + 2 > s_.max_attempts &&
+    else if (q.attempts + 2 > q.rules->max_attempts &&
              !serves_whole())  // no read and write are left: nothing to wait for
       give_up(q);
   }
   bool serves_whole() const {
-    return s_.writers_read || std::any_of(hosts_.begin(), hosts_.end(),
-                                          [](const auto& e) { return e.second.role == Role::kMixed; });
+    return s_->writers_read || std::any_of(hosts_.begin(), hosts_.end(),
+                                           [](const auto& e) { return e.second.role == Role::kMixed; });
   }
 
-  Duration lead() const { return 2 * std::max(kTickEvery, s_.tick); }
+  Duration lead() const { return 2 * std::max(kTickEvery, s_->tick); }
 
   // How late first tokens come, as a share of their objectives: a mean over the last seconds that starts from
   // a few that were in time, so that one late answer is not taken for overload.
@@ -735,8 +736,8 @@
     }
     for (const HostEntry& e : list.entries) {
       const auto kind =
-          std::find_if(s_.kinds.begin(), s_.kinds.end(), [&](const auto& k) { return k.name == e.kind; });
-      if (kind == s_.kinds.end()) continue;
+          std::find_if(s_->kinds.begin(), s_->kinds.end(), [&](const auto& k) { return k.name == e.kind; });
+      if (kind == s_->kinds.end()) continue;
       Host& h = hosts_[e.host];
       if (!h.host.empty() && h.started != e.started) {  // restarted: its texts and states are gone
         act(Log{"host " + e.host + " restarted"});
@@ -755,7 +756,7 @@
       const Host& h = entry.second;
       return h.state == HostState::kGone && h.idle() && h.waiting_states == 0;
     });
-    take_stock();
+    place_hosts();
   }
 
   // Its process is another one, so that all else that was known of it is void.
@@ -771,12 +772,6 @@
     return h.listed == HostState::kReady && offline_.contains(h.host) ? HostState::kDraining : h.listed;
   }
 
-  void take_stock() {
-    place_hosts();
-    readers_ = pool(Role::kReader).ready + pool(Role::kMixed).ready;
-    count_warm();
-  }
-
   void on(const Knowledge& k) {
     static_cast<Average&>(far_norm_) = k.far;
     for (std::size_t role = 0; role < served_.size(); ++role) {
@@ -796,6 +791,22 @@
     if (Host* h = find_host(s.host); h != nullptr && cold(*h)) h->sends.push_back(now_);
   }
 
+  void tune() {
+    const auto sooner = [](const auto& a, const auto& b) { return a.objective < b.objective; };
+    shortest_ = std::min_element(s_->classes.begin(), s_->classes.end(), sooner)->objective;
+    std::map<std::string, Share> shares;
+    for (const Tenant& t : s_->tenants) {
+      const double left = shares_.contains(t.name) ? shares_[t.name].left : kLeastBurst;
+      shares[t.name] = {t.quota_rps / s_->router_count, left, now_};
+    }
+    shares_ = std::move(shares);
+  }
+
+  void on(const NewSettings& n) {
+    s_ = n.settings;
+    tune();
+  }
+
   void on(const Maintenance& m) {
     if (m.offline == offline_.contains(m.host)) return;
     m.offline ? void(offline_.insert(m.host)) : void(offline_.erase(m.host));
@@ -807,7 +818,7 @@
       h->welcome = true;
     }
     h->state = allowed(*h);
-    take_stock();
+    place_hosts();
   }
 
   // All that a reader's cell can't write crosses the cell's one link, and slower to another zone. Where much
@@ -816,12 +827,6 @@
   // such a reader wins fewer ties. Covers slow links and cells whose writers are gone; costs balance where
   // links are wide.
   void place_hosts() {
-    struct Place {
-      double readers = 0, writers = 0;
-      double near(const Place& all) const {
-        return std::min(1.0, writers * all.readers / std::max(readers * all.writers, 1e-9));
-      }
-    };
     std::map<std::pair<std::string, int>, Place> cells;
     std::map<std::string, Place> zones;
     Place all;
@@ -834,15 +839,18 @@
       const double cell = cells[{h.zone, h.cell}].near(all);
       h.near = cell + (1 - cell) * kOtherZone * zones[h.zone].near(all);
     }
+    readers_ = pool(Role::kReader).ready + pool(Role::kMixed).ready;
+    count_warm();
   }
 
   void on(const Request& r) {
     if (requests_.contains(r.id)) return;
-    const auto cls = std::find_if(s_.classes.begin(), s_.classes.end(),
+    const auto cls = std::find_if(s_->classes.begin(), s_->classes.end(),
                                   [&](const auto& c) { return c.name == r.request_class; });
-    if (cls == s_.classes.end()) return act(Fail{r.id});
+    if (cls == s_->classes.end()) return act(Fail{r.id});
     Pending& q = requests_[r.id];
     q.r = r;
+    q.rules = s_;
     q.cls = &*cls;
     q.idle_since = now_;
     q.over_share = over_share(r.tenant);
@@ -914,21 +922,21 @@
       release(q);
       return settle(q);
     }
-    const bool proves_idle = o.verdict == Verdict::kFull || o.verdict == Verdict::kConnectFailed ||
-                             o.verdict == Verdict::kNeverSent || phase == Phase::kReading;
+    const Verdict v = o.verdict;
+    const bool proves_idle = v == Verdict::kFull || v == Verdict::kConnectFailed ||
+                             v == Verdict::kNeverSent || phase == Phase::kReading;
     if (!proves_idle && !q.maybe_ran) {
       q.maybe_ran = true;
       q.ran_sent = q.sent;
       q.ran_zone = h != nullptr ? h->zone : "";
       q.ran_cell = h != nullptr ? h->cell : -1;
     }
-    if (o.verdict != Verdict::kRead && o.verdict != Verdict::kFull) q.tried.push_back(o.host);
-    const bool lost =
-        o.verdict == Verdict::kFull || o.verdict == Verdict::kError || o.verdict == Verdict::kReset;
+    if (v != Verdict::kRead && v != Verdict::kFull) q.tried.push_back(o.host);
+    const bool lost = v == Verdict::kFull || v == Verdict::kError || v == Verdict::kReset;
     if (lost && o.note == 1) state_gone(q);  // read anew
     q.phase = q.state_held ? Phase::kNeedsWriter : Phase::kNeedsRead;
     const bool unsafe = q.cls->repeat == Repeat::kUnsafe && q.maybe_ran;
-    unsafe || o.verdict == Verdict::kNeverSent ? give_up(q) : route(q);
+    unsafe || v == Verdict::kNeverSent ? give_up(q) : route(q);
     settle(q);
   }
 
@@ -977,7 +985,7 @@
     if (it == requests_.end()) return;
     Pending& q = it->second;
     q.ended = true;
-    if (q.out && q.phase != Phase::kStreaming && s_.may_cancel && !q.cancelled) {
+    if (q.out && q.phase != Phase::kStreaming && s_->may_cancel && !q.cancelled) {
       q.cancelled = true;
       act(Cancel{q.r.id, q.attempts - 1});
     }
@@ -988,7 +996,7 @@
   void on(const Timer& t) {
     if (t.tag != 0 || !tick_set_) return;
     tick_set_ = false;
-    if (resubscribe_ && s_.list_by_asking) act(Subscribe{});
+    if (resubscribe_ && s_->list_by_asking) act(Subscribe{});
     resubscribe_ = false;
 
     count_warm();
@@ -1005,7 +1013,7 @@
         watch(q);
         continue;
       }
-      q.state_held&& now_ >= q.idle_since + scaled(s_.pin_limit, kPinCare) ? give_up(q) : route(q);
+      q.state_held&& now_ >= q.idle_since + scaled(q.rules->pin_limit, kPinCare) ? give_up(q) : route(q);
       settle(q);
     }
   }
@@ -1016,7 +1024,7 @@
     if (h == nullptr) return;
     if (q.phase == Phase::kStreaming) {
       const bool quiet = now_ - h->last_alive > scaled(q.objective(), kMoveQuiet);
-      if (h->ejected && h->hung && quiet && s_.resume) {
+      if (h->ejected && h->hung && quiet && s_->resume) {
         q.ended = true;
         act(Move{q.r.id});
       }
@@ -1031,13 +1039,13 @@
     const Pool p = pool(h->role);                // in a jam, moving on would only make it worse
     const bool alone = h->lag > kAlone * (p.lag - h->lag) / std::max(1.0, p.busy - 1) && stands_out(q, age);
     if (!lost && (!alone || age <= (silent ? limit : scaled(limit, kOverdue)))) return;
-    if (s_.may_cancel && !q.cancelled && may_repeat(q, *h) && now_ + limit < q.r.client_deadline) {
+    if (s_->may_cancel && !q.cancelled && may_repeat(q, *h) && now_ + limit < q.r.client_deadline) {
       q.cancelled = true;
       act(Cancel{q.r.id, q.attempts - 1});
     }
   }
 
-  Settings s_;
+  std::shared_ptr<const Settings> s_;
   std::uint64_t seed_;
   Time now_{}, born_{};
   bool begun_ = false, tick_set_ = false, resubscribe_ = false;
--- /dev/null
+++ b/tests/dispatcher/settings_test.cpp
@@ -0,0 +1,142 @@
+// Settings that change under way: the check of a new file, and who works by which settings.
+#include <algorithm>
+#include <random>
+
+#include "app/config.hpp"
+#include "world.hpp"
+
+namespace bitternferry::testing {
+namespace {
+
+using Json = nlohmann::json;
+
+Json file() {
+  return Json::parse(R"({"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:3","seed":"7",
+    "limits":{"cores":1.0,"memory_mb":64,"sockets":512},
+    "settings":{"myNumber":0,"balancers":2,"granularityMs":4.0,"hostTypes":["reader","writer"],
+      "registryMode":"push","categories":[
+        {"name":"ask","repeat":"safe","objectiveMs":1200.0,"deadlineMs":6000.0,"worth":1.0,"lateValue":0.3},
+        {"name":"command","repeat":"unsafe","objectiveMs":800.0,"deadlineMs":3000.0,"worth":5.0}],
+      "familyInfo":{"dutyByKind":["read","write"],"pinLimitMs":300.0},
+      "limits":{"mostTries":4,"connectTimeoutMs":250.0,"idleCloseMs":15000.0},
+      "guarantees":{"answerSlackMs":16.0,"drainGraceMs":250.0,"coldShare":0.3,"coldMs":14000.0,
+        "tipMultiple":4.0,"tipAfterMs":2000.0}}})");
+}
+
+// What a reload would say of it; empty: it is taken.
+std::string problem(const std::string& text) {
+  try {
+    app::check_keys(file(), app::parse_config(text, {}).source);
+  } catch (const app::ConfigError& e) {
+    return e.what();
+  }
+  return {};
+}
+
+TEST_CASE("a file that is empty, cut short or lacks any key is turned down", "[settings]") {
+  const std::string text = file().dump();
+  CHECK(problem(text).empty());
+  std::mt19937 random(17);
+  for (int i = 0; i < 200; ++i) CHECK_FALSE(problem(text.substr(0, random() % text.size())).empty());
+  const Json flat = file().flatten();
+  for (const auto& [path, value] : flat.items()) {
+    Json less = file();
+    const Json::json_pointer at(path), parent = at.parent_pointer();
+    if (!less[parent].is_object()) continue;
+    less[parent].erase(at.back());
+    INFO(path);
+    // A key that not all classes had is no promise that each has it.
+    CHECK(problem(less.dump()).empty() == (path == "/settings/categories/0/lateValue"));
+  }
+}
+
+TEST_CASE("deadlines and numbers of attempts are numbers above 0", "[settings]") {
+  for (const char* path : {"/settings/categories/1/deadlineMs", "/settings/limits/mostTries"}) {
+    for (const Json& value : {Json(0), Json(-1), Json("4"), Json(true), Json(nullptr), Json::array({4})}) {
+      Json bad = file();
+      bad[Json::json_pointer(path)] = value;
+      INFO(path << " " << value);
+      CHECK_FALSE(problem(bad.dump()).empty());
+    }
+  }
+}
+
+TEST_CASE("classes may be added and dropped, and attempts get fewer", "[settings]") {
+  Json next = file();
+  Json& classes = next["settings"]["categories"];
+  classes.push_back(classes[0]);
+  classes.back()["name"] = "more";
+  classes.erase(1);
+  next["settings"]["limits"]["mostTries"] = 2;
+  CHECK(problem(next.dump()).empty());
+}
+
+// Settings as in the tests' world, but fewer attempts, "command" safe now, "ask" gone and "more" new.
+core::Rules other() {
+  auto s = make_settings();
+  s.max_attempts = 2;
+  s.classes[0].name = "more";
+  s.classes[1].repeat = basaltvane::Repeat::kSafe;
+  return std::make_shared<const basaltvane::Settings>(s);
+}
+
+// Each writer resets what it is asked; readers read.
+TEST_CASE("an open request keeps the rules it came in under; the next has the new ones", "[settings]") {
+  World world(read_well, [](StandInReplica&, SlotId, const StandInReplica::Seen&) {});
+  auto before = world.platform_client(), after = world.platform_client(), old = world.platform_client();
+  const auto writes = [&](const std::string& id) { return world.total("POST", true, id); };
+  before->post(facts("a1", "command"), "{}");
+  REQUIRE(world.until([&] { return writes("a1") == 1; }));
+  world.engine.adopt(other());
+  world.platform.adopt(other());
+  after->post(facts("a2", "more"), "{}");
+  REQUIRE(world.until([&] { return writes("a2") == 1; }));
+  old->post(facts("a3", "ask"), "{}");
+  REQUIRE(world.until([&] { return old->whole; }));
+  CHECK(old->status == 400);  // the class is gone
+  for (std::size_t i = 0; i < 2; ++i) {
+    for (const SlotId client : std::exchange(world.writer(i).waiting, {})) world.writer(i).say(client, 500);
+  }
+  REQUIRE(world.until([&] { return before->whole && after->whole; }));
+  CHECK(before->status == 502);  // it was unsafe, and may have run
+  CHECK(writes("a1") == 1);
+  CHECK(after->status == 503);  // safe, but of two attempts none is left
+  CHECK(writes("a2") == 1);
+}
+
+TEST_CASE("a request of four attempts has four, also after two became the limit", "[settings]") {
+  const bool changed = GENERATE(false, true);
+  World world([](StandInReplica&, SlotId, const StandInReplica::Seen&) {}, write_well);
+  auto client = world.platform_client();
+  if (changed) world.engine.adopt(other());
+  if (changed) world.platform.adopt(other());
+  client->post(facts("a1", "command"), "{}");
+  REQUIRE(world.until([&] { return world.total("POST", false, "a1") == 1; }));
+  if (!changed) world.engine.adopt(other());
+  auto& reader = world.reader(0).waiting.empty() ? world.reader(1) : world.reader(0);
+  reader.say(reader.waiting.back(), 500);
+  if (changed) {
+    REQUIRE(world.until([&] { return client->whole; }));
+    CHECK(client->status == 503);  // one attempt is left: too few to read and to write
+  } else {
+    CHECK(world.until([&] { return world.total("POST", false, "a1") == 2; }));
+  }
+}
+
+TEST_CASE("the chat front serves the models of the new settings' classes", "[settings][chat]") {
+  World world(read_well, write_well, kChat);
+  const std::string next =
+      R"({"listen":"127.0.0.1:0","account":"acme","models":[{"id":"more","class":"more"}]})";
+  CHECK_THROWS(chat::parse_config(next, make_settings()));
+  world.engine.adopt(other());
+  world.chat->adopt(*chat::parse_config(next, *other()));  // keeps what its models point into
+  auto client = world.chat_client(), old = world.chat_client();
+  client->post("", chat_body("more", false));
+  old->post("", chat_body("ask", false));
+  REQUIRE(world.until([&] { return client->whole && old->whole; }));
+  CHECK(client->status == 200);
+  CHECK(old->status == 404);
+}
+
+}  // namespace
+}  // namespace bitternferry::testing
