Hand running streams to the process that takes over, so that none ends with the old one

Cause: a stream was bound to the process that began it (Server, Pool and Engine own its two sockets and their parsers). Found on the way, by a trace of how the clients' connections ended: the first tries failed every stream handed over, for a read that was taken back and wanted again was told to its owner as the connection's end (net/connection.cpp, read), and for the old process ended before its link had sent all (app/dispatcher.cpp, finish_draining). Both are mended. Change: both sockets, the bytes left of the chunk and what is unparsed pass over the link; http::Reader counts the chunk's rest and can go on in the middle of one; Connection::hush takes a waiting read back. The chat front's streams stay with the process that began them.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -14,6 +14,7 @@
 constexpr core::Duration kKeepAccepting = milliseconds(550);
 constexpr core::Duration kListenAgain = milliseconds(250);
 constexpr core::Duration kDrainLook = milliseconds(20);
+constexpr int kWakeEvery = 3;  // looks for which a stream is kept still that could not be handed over yet
 // One try of a lease call: several must fit into the pin limit.
 constexpr int kLeaseTries = 3;
 constexpr std::size_t kMegabyte = 1024 * 1024;
@@ -316,14 +317,59 @@
   }
 }
 
+// A stream may run for longer than this process does. The platform's pass to the process that takes over,
+// each where it stands between two events: both sockets, and what is left of the chunk being read.
+void Dispatcher::hand_over_streams() {
+  if (!partner_.succeeded()) return;
+  http::Server& server = platform_.server();
+  for (const core::Engine::Stream& s : engine_.streams(platform_.answerer())) {
+    const core::AttemptId attempt{s.request, s.attempt};
+    // Both reads are taken back first; it is given once they are, unless more came in between.
+    const bool client_still = server.hush(s.client), replica_still = pool_.hush(attempt);
+    if (client_still && replica_still) {
+      const auto [replica, given] = pool_.give(attempt);
+      const net::UniqueFd client = server.give(s.client);
+      platform_.forget_given(s.client);
+      partner_.give_stream({{"id", s.id},
+                            {"host", given.host},
+                            {"unread", std::vector<unsigned char>(given.unread.begin(), given.unread.end())},
+                            {"chunk_left", given.chunk_left},
+                            {"keep_alive", given.keep_alive}},
+                           client.get(), replica.get());
+      engine_.give_away(s.request);
+    } else if (handover_tries_ % kWakeEvery == kWakeEvery - 1) {
+      server.wake(s.client);
+      pool_.wake(attempt);
+    }
+  }
+  ++handover_tries_;
+}
+
+void Dispatcher::on_stream(const Json& facts, net::UniqueFd client, net::UniqueFd replica) {
+  try {
+    const auto unread = facts.at("unread").get<std::vector<unsigned char>>();
+    const replica::Pool::Given given{facts.at("host").get<std::string>(),
+                                     {unread.begin(), unread.end()},
+                                     facts.at("chunk_left").get<std::uint64_t>(),
+                                     facts.at("keep_alive").get<bool>()};
+    const auto id = facts.at("id").get<std::string>();
+    engine_.request_elsewhere(id, false);
+    const net::SlotId request = platform_.take_over(std::move(client), id, given.host);
+    pool_.adopt({request, 0}, std::move(replica), given);
+  } catch (const std::exception& e) {
+    log_(std::string("upgrade: a stream can't go on here: ") + e.what());
+  }
+}
+
 // Everything taken is answered, every stream passed on and every state let go of before the end.
 void Dispatcher::finish_draining() {
+  hand_over_streams();
   std::size_t clients = 0;
   for (http::Server* server : servers()) {
     if (took_last_) server->close_idle();
     clients += server->clients();
   }
-  if (!took_last_ || engine_.open() > 0 || clients > 0 || pool_.leases_out() > 0) {
+  if (!took_last_ || !partner_.all_sent() || engine_.open() > 0 || clients > 0 || pool_.leases_out() > 0) {
     loop_.deadlines().add(loop_.now() + kDrainLook, [this] { finish_draining(); });
     return;
   }
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -52,6 +52,7 @@
   void on_ban(const std::string& host, bool offline) override { order(host, offline); }
   void on_request(const std::string& id, bool open) override { engine_.request_elsewhere(id, open); }
   void on_sent(const std::string& host) override { engine_.sent_elsewhere(host); }
+  void on_stream(const Json& facts, net::UniqueFd client, net::UniqueFd replica) override;
   void on_vrrp(bool was_active) override;
   void on_partners() override;
 
@@ -61,6 +62,7 @@
   void bound();
   void speak(bool succeeds);
   void stop_taking();
+  void hand_over_streams();
   void await_signal();
   void adopt(const Files& files);
   bool ready();
@@ -89,6 +91,7 @@
   std::optional<vrrp::Config> pair_;
   net::UniqueFd chat_socket_;  // handed over, for when this instance fronts the chat address
   bool serving_ = false;
+  int handover_tries_ = 0;
   boost::asio::signal_set signals_;
   bool draining_ = false, took_last_ = false;
 };
--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -129,6 +129,51 @@
   return ids;
 }
 
+std::vector<Engine::Stream> Engine::streams(const Answerer& front) {
+  std::vector<Stream> all;
+  for (const SlotId id : requests_.ids()) {
+    const Flight& flight = *requests_.find(id);
+    if (flight.front != &front || !flight.streaming || flight.answered || flight.paused) continue;
+    const auto number = static_cast<std::size_t>(*flight.streaming);
+    all.push_back({id, flight.client, *flight.streaming, flight.id, flight.attempts[number].host});
+  }
+  return all;
+}
+
+void Engine::give_away(SlotId id) {
+  Flight* flight = requests_.find(id);
+  if (flight == nullptr || !flight->streaming) return;
+  answered(*flight);
+  Attempt& attempt = flight->attempts[static_cast<std::size_t>(*flight->streaming)];
+  attempt.out = false;
+  feed(ClientGone{flight->id});  // so that the end of its attempt tells nothing of the host
+  feed(Outcome{flight->id,
+               attempt.host,
+               *flight->streaming,
+               Verdict::kCancelled,
+               clock_() - attempt.sent,
+               true,
+               0,
+               {}});
+  settle(id);
+}
+
+// The router is not told: it has nothing to decide for a stream that runs.
+SlotId Engine::adopt(Answerer& front, SlotId client, const std::string& id, const std::string& host) {
+  const SlotId slot = requests_.emplace();
+  Flight& flight = *requests_.find(slot);
+  flight.front = &front;
+  flight.client = client;
+  flight.id = id;
+  flight.rules = rules_;
+  flight.streaming = 0;
+  flight.attempts.push_back({host, clock_(), true, false, {}});
+  by_id_[id] = slot;
+  ++unanswered_;
+  watch_silence(slot);
+  return slot;
+}
+
 void Engine::request_elsewhere(const std::string& id, bool open) {
   open ? void(elsewhere_.insert(id)) : void(elsewhere_.erase(id));
 }
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -110,6 +110,16 @@
   basaltvane::Knowledge knowledge() const { return router_.knowledge(); }
   void learn(const basaltvane::Knowledge& knowledge) { feed(knowledge); }
   std::vector<std::string> open_ids() const;
+  // Streams that run for a front's clients, and how one goes on at the other process: adopt() there, after
+  // give_away() here. Whose attempt number 0 it is then.
+  struct Stream {
+    SlotId request, client;
+    int attempt = 0;
+    std::string id, host;
+  };
+  std::vector<Stream> streams(const Answerer& front);
+  void give_away(SlotId request);
+  SlotId adopt(Answerer& front, SlotId client, const std::string& id, const std::string& host);
   void request_elsewhere(const std::string& id, bool open);
   void sent_elsewhere(const std::string& host) { feed(basaltvane::SentElsewhere{host}); }
   void alone() { elsewhere_.clear(); }
--- a/src/http/front.hpp
+++ b/src/http/front.hpp
@@ -22,6 +22,13 @@
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
   Server& server() { return server_; }
+  const core::Answerer& answerer() const { return *this; }
+  // A stream that began at another process goes on here.
+  SlotId take_over(net::UniqueFd socket, const std::string& id, const std::string& host) {
+    const SlotId client = server_.adopt(std::move(socket));
+    return requests_[client] = engine_.adopt(*this, client, id, host);
+  }
+  void forget_given(SlotId client) { forget(client); }
 
  protected:
   // Hands a request to the core, which may answer it before this returns.
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -2,8 +2,10 @@
 #ifndef BITTERNFERRY_HTTP_MESSAGE_HPP_
 #define BITTERNFERRY_HTTP_MESSAGE_HPP_
 
+#include <algorithm>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdio>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,6 +28,8 @@
  public:
   using Message = beast_http::message<kRequest, beast_http::string_body>;
   explicit Reader(std::optional<std::size_t> most_body) : most_body_(most_body) { reset(); }
+  Reader(const Reader&) = delete;  // the parser refers to this object
+  Reader& operator=(const Reader&) = delete;
 
   void reset() {
     started_ = false;
@@ -39,6 +43,7 @@
     while (!parser_->is_done() && !input.empty()) {
       error_.clear();
       const std::size_t used = parser_->put(input.data(), error_);
+      count_chunk();
       if (error_ == beast_http::error::need_more && !parser_->is_header_done()) {
         make_parser();
         return Progress::kMore;
@@ -66,8 +71,23 @@
   std::string take_body() {
     std::string part = std::move(parser_->get().body());
     parser_->get().body().clear();
+    mark_ = 0;
     return part;
   }
+  // Bytes that the chunk being read still lacks. Its line end, where that is all, is left in the input.
+  std::uint64_t chunk_left() const { return chunk_left_; }
+  // Goes on with an answer in chunks that another reader began, at the byte where that one stopped.
+  void resume_chunks(std::uint64_t left, bool keep_alive) {
+    reset();
+    net::RingBuffer begun(1024);
+    begun.append("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n");
+    begun.append(keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
+    char size[24];
+    std::snprintf(size, sizeof size, "%llx\r\n", static_cast<unsigned long long>(left));
+    begun.append(left > 0 ? size : "1\r\n.");  // a chunk that lacks its line end, or `left` bytes
+    read(begun);
+    take_body();
+  }
 
  private:
   void make_parser() {
@@ -80,15 +100,26 @@
     }
     parser_->eager(true);
     parser_->on_chunk_header(check_chunk_);
+    chunk_left_ = mark_ = 0;
+  }
+  void count_chunk() {
+    const std::size_t held = parser_->get().body().size();
+    chunk_left_ -= std::min<std::uint64_t>(chunk_left_, held - std::min(mark_, held));
+    mark_ = held;
   }
 
   // A chunk that claims to hold gigabytes ends the message at once; it must not be read to its end first.
   struct ChunkCheck {
     void operator()(std::uint64_t size, boost::beast::string_view, boost::system::error_code& error) const {
       if (size > kMostChunk) error = beast_http::error::body_limit;
+      reader->mark_ = reader->parser_->get().body().size();
+      reader->chunk_left_ = size;
     }
+    Reader* reader;
   };
-  inline static ChunkCheck check_chunk_{};  // the parser keeps a reference to it
+  ChunkCheck check_chunk_{this};  // the parser keeps a reference to it
+  std::uint64_t chunk_left_ = 0;
+  std::size_t mark_ = 0;  // of the body, what chunk_left_ knows of
 
   std::optional<std::size_t> most_body_;
   bool started_ = false;
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -28,7 +28,8 @@
 Server::Server(boost::asio::io_context& io, const net::tcp::endpoint& at, Handler& handler,
                core::Deadlines& deadlines, core::Clock clock, const ServerOptions& options,
                std::function<bool()> shed)
-    : handler_(handler),
+    : io_(io),
+      handler_(handler),
       deadlines_(deadlines),
       clock_(std::move(clock)),
       options_(options),
@@ -219,6 +220,41 @@
   client->state == State::kAnswering ? gone(id) : drop(id);
 }
 
+// ---- streams that change hands ----
+
+bool Server::hush(SlotId id) {
+  Client* client = clients_.find(id);
+  if (client == nullptr || !client->streaming || !client->chunked || client->waiting) return false;
+  if (!client->connection->output().empty()) return false;
+  if (!std::exchange(client->hushed, true)) client->connection->hush();
+  return client->connection->still() && client->connection->input().empty();
+}
+
+void Server::wake(SlotId id) {
+  Client* client = clients_.find(id);
+  if (client != nullptr && std::exchange(client->hushed, false)) client->connection->read();
+}
+
+net::UniqueFd Server::give(SlotId id) {
+  net::UniqueFd socket = clients_.find(id)->connection->copy();
+  drop(id);
+  return socket;
+}
+
+SlotId Server::adopt(net::UniqueFd socket) {
+  auto connection =
+      std::make_shared<net::Connection>(net::adopt_socket(io_, std::move(socket)), kMostIn, kMostOut);
+  const SlotId id = clients_.emplace();
+  Client& client = *clients_.find(id);
+  client.connection = std::move(connection);
+  client.connection->own(*this, id);
+  client.state = State::kAnswering;
+  client.streaming = client.spoke = true;
+  client.since = client.arrived = clock_();
+  client.connection->read();
+  return id;
+}
+
 // ---- answers ----
 
 void Server::answer(SlotId id, int status, std::string_view type, std::string_view body,
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -69,6 +69,12 @@
   int listening() { return listener_.native(); }  // the socket, for another process
   // Other bounds; the clients that are there stay.
   void bound(std::size_t most_clients, std::size_t most_held);
+  // For handing a running stream to another process: is everything of it written? Keeps its client from
+  // being read until wake().
+  bool hush(SlotId client);
+  void wake(SlotId client);
+  net::UniqueFd give(SlotId client);   // a copy of the socket; the client is forgotten here
+  SlotId adopt(net::UniqueFd socket);  // a client whose stream goes on here
   bool is_open() const { return listener_.is_open(); }
   bool draining() const { return draining_; }
   std::size_t clients() const { return clients_.size(); }
@@ -80,7 +86,7 @@
     std::shared_ptr<net::Connection> connection;
     RequestReader reader{kMostBody};
     State state = State::kReading;
-    bool streaming = false, waiting = false, keep = true, told_continue = false;
+    bool streaming = false, hushed = false, waiting = false, keep = true, told_continue = false;
     bool chunked = true;        // HTTP/1.0 knows no chunks: there the connection's end is the stream's
     bool spoke = false;         // a first byte has come
     std::size_t held = 0;       // bytes of its request's body
@@ -108,6 +114,7 @@
   static int use(const Client& client, Time now);
   bool shed(SlotId newcomer = {});
 
+  boost::asio::io_context& io_;
   Handler& handler_;
   core::Deadlines& deadlines_;
   core::Clock clock_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,5 +1,6 @@
 #include "net/connection.hpp"
 
+#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -24,6 +25,17 @@
   return tcp::endpoint(address, port);
 }
 
+tcp::socket adopt_socket(asio::io_context& io, UniqueFd fd) {
+  sockaddr_storage name{};
+  socklen_t size = sizeof name;
+  if (::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&name), &size) != 0)
+    throw boost::system::system_error(errno, boost::system::system_category());
+  tcp::socket socket(io);
+  socket.assign(name.ss_family == AF_INET6 ? tcp::v6() : tcp::v4(), fd.get());
+  fd.release();
+  return socket;
+}
+
 Connection::Connection(tcp::socket socket, std::size_t most_in, std::size_t most_out)
     : socket_(std::move(socket)), in_(most_in), out_(most_out) {
   error_code ignored;
@@ -61,6 +73,10 @@
   socket_.async_read_some(in_.prepare(), [self = shared_from_this()](error_code error, std::size_t n) {
     self->reading_ = false;
     if (!self->open_) return;
+    if (error == asio::error::operation_aborted) {  // hushed, and perhaps woken again since
+      if (self->wanted_) self->read();
+      return;
+    }
     if (error) return self->fail(error);
     self->in_.commit(n);
     self->owner_->on_data(self->id_);
@@ -68,6 +84,16 @@
   });
 }
 
+void Connection::hush() {
+  wanted_ = false;
+  error_code ignored;
+  if (reading_) socket_.cancel(ignored);
+}
+
+UniqueFd Connection::copy() const {
+  return UniqueFd(::fcntl(const_cast<tcp::socket&>(socket_).native_handle(), F_DUPFD_CLOEXEC, 0));
+}
+
 void Connection::pause() { wanted_ = false; }
 
 bool Connection::write(std::string_view text) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -21,6 +21,8 @@
 // "127.0.0.1:3000" or "[::1]:3000"; empty where it is no numeric address with a port.
 std::optional<tcp::endpoint> parse_endpoint(std::string_view text);
 
+tcp::socket adopt_socket(boost::asio::io_context& io, UniqueFd fd);  // throws where it is no TCP socket
+
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   // Told of what happens, always from the event loop, never from inside a call to the connection.
@@ -42,7 +44,13 @@
   void own(Owner& owner, SlotId id);
   RingBuffer& input() { return in_; }
   const RingBuffer& output() const { return out_; }
-  void read();                        // keeps reading while there is room, until pause()
+  void take_in(std::string_view text) { in_.append(text); }  // as if the peer had sent it
+  void read();  // keeps reading while there is room, until pause()
+  // For handing the socket to another process: takes back the read that waits, if any. Once still(), nothing
+  // is on its way in or out of this object, until read() is called.
+  void hush();
+  bool still() const { return open_ && !reading_ && !writing_ && !finishing_ && out_.empty(); }
+  UniqueFd copy() const;              // the same connection; it stands until all copies are closed
   void pause();                       // stops asking for more: TCP holds the peer back
   bool write(std::string_view text);  // false: more than the ring may hold
   // Has the peer closed, or sent something that nobody asked for? Asks the kernel, past what was read.
--- a/src/net/ring_buffer.hpp
+++ b/src/net/ring_buffer.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstring>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace bitternferry::net {
@@ -37,6 +38,11 @@
     return {boost::asio::mutable_buffer(bytes_.get() + tail, first),
             boost::asio::mutable_buffer(bytes_.get(), free - first)};
   }
+  std::string text() const {  // a copy of what is held
+    std::string all;
+    for (const auto& piece : data()) all.append(static_cast<const char*>(piece.data()), piece.size());
+    return all;
+  }
   void commit(std::size_t n) { size_ += n; }
   void consume(std::size_t n) {
     n = std::min(n, size_);
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -29,6 +29,8 @@
 // after such a reset new ones are worth their handshake.
 constexpr Duration kDistrust = milliseconds(10000);
 
+constexpr std::size_t kMostUnread = 4096;  // of a stream that changes hands
+
 constexpr std::string_view kLoadComment = ": X-Backend-Load:";
 
 std::string request_head(std::string_view method, std::string_view target) {
@@ -266,6 +268,67 @@
   if (Line* line = lines_.find(it->second)) line->connection->read();
 }
 
+// ---- streams that change hands ----
+
+Pool::Line* Pool::line_of(AttemptId attempt) {
+  const auto it = attempts_.find(attempt);
+  return it == attempts_.end() ? nullptr : lines_.find(it->second);
+}
+
+bool Pool::hush(AttemptId attempt) {
+  Line* line = line_of(attempt);
+  if (line == nullptr || !line->sent || !line->reader.head_done()) return false;
+  if (!line->reader.message().chunked() || !line->framer.rest().empty()) return false;
+  if (line->connection->input().size() > kMostUnread) return false;
+  if (!std::exchange(line->hushed, true)) line->connection->hush();
+  return line->connection->still();
+}
+
+void Pool::wake(AttemptId attempt) {
+  Line* line = line_of(attempt);
+  if (line != nullptr && std::exchange(line->hushed, false)) line->connection->read();
+}
+
+std::pair<net::UniqueFd, Pool::Given> Pool::give(AttemptId attempt) {
+  Line& line = *line_of(attempt);
+  Given given;
+  given.host = line.host;
+  given.unread = line.connection->input().text();
+  given.chunk_left = line.reader.chunk_left();
+  given.keep_alive = line.reader.keep_alive();
+  net::UniqueFd socket = line.connection->copy();
+  drop(attempts_.extract(attempt).mapped());
+  return {std::move(socket), std::move(given)};
+}
+
+void Pool::adopt(AttemptId attempt, net::UniqueFd socket, const Given& given) {
+  auto connection =
+      std::make_shared<net::Connection>(net::adopt_socket(io_, std::move(socket)), kMostIn, kMostOut);
+  const SlotId id = lines_.emplace();
+  Line& line = *lines_.find(id);
+  const auto [entry, unknown] = hosts_.try_emplace(given.host);
+  Host& host = entry->second;
+  if (unknown) host.gone = true;  // it left the list meanwhile
+  ++host.lines;
+  ++host.busy;
+  line.host = given.host;
+  line.kind = Kind::kAttempt;
+  line.attempt = attempt;
+  line.connected = line.sent = line.reused = line.answers = true;
+  line.reader.resume_chunks(given.chunk_left, given.keep_alive);
+  line.connection = std::move(connection);
+  line.connection->own(*this, id);
+  line.connection->take_in(given.unread);
+  attempts_[attempt] = id;
+  // What was unread may be all that was left of it.
+  deadlines_.add(clock_(), [this, id] {
+    if (lines_.find(id) == nullptr) return;
+    on_data(id);
+    if (Line* still = lines_.find(id); still != nullptr && still->kind != Kind::kNone)
+      still->connection->read();
+  });
+}
+
 // ---- leases ----
 
 void Pool::hold(AttemptId attempt, const std::string& name, const std::string& request) {
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -52,6 +52,17 @@
   void maintain(const std::string& host, bool offline);
   // Other bounds and times for what is opened from now on.
   void adopt(const Options& options);
+  // For handing a running stream to another process, as http::Server does. hush(): does it stand between two
+  // events? What is to be known of it besides its socket is in Given.
+  struct Given {
+    std::string host, unread;
+    std::uint64_t chunk_left = 0;
+    bool keep_alive = true;
+  };
+  bool hush(AttemptId attempt);
+  void wake(AttemptId attempt);
+  std::pair<net::UniqueFd, Given> give(AttemptId attempt);
+  void adopt(AttemptId attempt, net::UniqueFd socket, const Given& given);
   // Closes the oldest idle connection: descriptors are short. False: there is none.
   bool shed();
   std::size_t open() const { return lines_.size(); }
@@ -74,7 +85,8 @@
     std::string host;
     std::shared_ptr<net::Connection> connection;
     bool connected = false, sent = false;
-    bool reused = false;      // has served an exchange before
+    bool reused = false;  // has served an exchange before
+    bool hushed = false;
     bool answers = false;     // bytes of an answer have come, other than informational ones
     Kind kind = Kind::kNone;  // kNone: idle, or being opened for nobody any more
     AttemptId attempt;
@@ -115,6 +127,7 @@
   void spoilt(SlotId id, std::string_view why);
   void lost(SlotId id, Verdict verdict, bool blameless = false);  // blameless: not the host's doing
   Host* find(const std::string& name);
+  Line* line_of(AttemptId attempt);
   void review(const std::string& name, Host& host);
   void forget_gone();
   void end_exchange(Line& line);
--- a/src/upgrade/link.hpp
+++ b/src/upgrade/link.hpp
@@ -34,6 +34,7 @@
   // The descriptors stay the caller's; the other side gets copies. Where the other side takes no more, the
   // link ends. False: this message is too long to be sent.
   bool send(const Json& message, const std::vector<int>& fds = {});
+  bool sent() const { return queue_.empty(); }  // nothing waits here for the other side to read
   void close();
 
  private:
--- a/src/upgrade/partner.cpp
+++ b/src/upgrade/partner.cpp
@@ -157,6 +157,8 @@
   if (message.contains("ban")) owner_.on_ban(text(message, "ban"), flag(message, "offline"));
   if (message.contains("request")) owner_.on_request(text(message, "request"), flag(message, "open"));
   if (message.contains("sent")) owner_.on_sent(text(message, "sent"));
+  if (message.contains("stream") && fds.size() == 2)
+    owner_.on_stream(message.at("stream"), std::move(fds[0]), std::move(fds[1]));
   if (message.contains("vrrp")) owner_.on_vrrp(flag(message, "vrrp"));
 }
 
@@ -188,6 +190,8 @@
   owner_.on_partners();
 }
 
+bool Partner::all_sent() const { return younger_.link == nullptr || younger_.link->sent(); }
+
 void Partner::tell(const Json& message) {
   for (End* end : {&elder_, &younger_}) {
     if (end->link != nullptr) end->link->send(message);
@@ -198,6 +202,9 @@
 void Partner::tell_vrrp(bool was_active) {
   if (younger_.link != nullptr) younger_.link->send({{"vrrp", was_active}});
 }
+void Partner::give_stream(const Json& facts, int client, int replica) {
+  younger_.link->send({{"stream", facts}}, {client, replica});
+}
 void Partner::tell_request(const std::string& id, bool open) {
   if (shared()) tell({{"request", id}, {"open", open}});
 }
--- a/src/upgrade/partner.hpp
+++ b/src/upgrade/partner.hpp
@@ -38,6 +38,7 @@
     virtual void on_ban(const std::string& host, bool offline) = 0;
     virtual void on_request(const std::string& id, bool open) = 0;
     virtual void on_sent(const std::string& host) = 0;
+    virtual void on_stream(const Json& facts, net::UniqueFd client, net::UniqueFd replica) = 0;
     virtual void on_vrrp(bool was_active) = 0;  // the elder left the pair, whose active one it was or not
     virtual void on_partners() = 0;             // there is one now, or none any more, or it serves
   };
@@ -49,10 +50,12 @@
   void close();
 
   bool shared() const { return elder_.link != nullptr || younger_.link != nullptr; }
+  bool all_sent() const;  // a process that ends before takes with it what it handed over
   bool has_elder() const { return elder_.link != nullptr; }
   bool succeeded() const { return younger_.link != nullptr && younger_serves_; }
   void tell_ban(const std::string& host, bool offline);
   void tell_vrrp(bool was_active);
+  void give_stream(const Json& facts, int client, int replica);  // goes on at the younger process
   void tell_request(const std::string& id, bool open) override;
   void tell_sent(const std::string& host) override;
 
--- a/tests/dispatcher/upgrade_test.cpp
+++ b/tests/dispatcher/upgrade_test.cpp
@@ -310,5 +310,124 @@
   CHECK(client->whole);
 }
 
+// At whatever byte one reader stops, the next goes on.
+TEST_CASE("an answer in chunks is read on by another reader, wherever it was cut", "[upgrade]") {
+  std::mt19937 random(23);
+  std::string body, bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::size_t head = bytes.size();
+  for (int i = 0; i < 12; ++i) {
+    const std::string piece(1 + random() % 40, static_cast<char>('a' + i));
+    body += piece;
+    bytes += http::chunk(piece);
+  }
+  bytes += http::kLastChunk;
+  for (std::size_t cut = head + 10; cut < bytes.size(); ++cut) {
+    net::RingBuffer first(1U << 16U), second(1U << 16U);
+    http::ResponseReader one(std::nullopt), two(std::nullopt);
+    std::string got;
+    for (std::size_t at = 0; at < cut;) {  // in pieces of any size
+      const std::size_t n = std::min<std::size_t>(cut - at, 1 + random() % 30);
+      first.append(std::string_view(bytes).substr(at, n));
+      at += n;
+      one.read(first);
+      if (random() % 2 == 0) got += one.take_body();
+    }
+    got += one.take_body();
+    if (one.read(first) == http::Progress::kDone) break;
+    two.resume_chunks(one.chunk_left(), true);
+    second.append(first.text());
+    second.append(std::string_view(bytes).substr(cut));
+    INFO(cut);
+    CHECK(two.read(second) == http::Progress::kDone);
+    CHECK(got + two.take_body() == body);
+    CHECK(two.keep_alive());
+  }
+}
+
+// The world hands a stream to itself, as it would to another process: sockets, and what is left of a chunk.
+TEST_CASE("a running stream changes hands, and neither its client nor its replica notices", "[upgrade]") {
+  World world(read_well, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.stream(client, {"one"}, false);
+  });
+  auto client = world.platform_client();
+  client->post(facts("a1", "command"), "{}");
+  REQUIRE(world.until([&] { return client->body.find("one") != std::string::npos; }));
+  world.settle();
+  const auto streams = world.engine.streams(world.platform.answerer());
+  REQUIRE(streams.size() == 1);
+  const core::AttemptId attempt{streams[0].request, streams[0].attempt};
+  REQUIRE(world.until([&] {
+    const bool still = world.platform.server().hush(streams[0].client);
+    return world.pool.hush(attempt) && still;
+  }));
+  auto& writer = world.writer(0).waiting.empty() ? world.writer(1) : world.writer(0);
+  // One that could not be handed over yet is woken, also while its reads are being taken back.
+  for (int twice = 0; twice < 2; ++twice) {
+    world.platform.server().wake(streams[0].client);
+    world.pool.wake(attempt);
+    world.platform.server().hush(streams[0].client);
+    world.pool.hush(attempt);
+  }
+  world.platform.server().wake(streams[0].client);
+  world.pool.wake(attempt);
+  world.settle();
+  REQUIRE(world.engine.open() == 1);
+  REQUIRE(world.until([&] {
+    const bool still = world.platform.server().hush(streams[0].client);
+    return world.pool.hush(attempt) && still;
+  }));
+  writer.server.pass(writer.waiting.back(), "data: two\n\n");  // while nobody reads
+  auto [replica, given] = world.pool.give(attempt);
+  net::UniqueFd socket = world.platform.server().give(streams[0].client);
+  world.platform.forget_given(streams[0].client);
+  world.engine.give_away(streams[0].request);
+  CHECK(world.engine.open() == 0);
+  CHECK(world.platform.server().clients() == 0);
+  CHECK(world.pool.open() == 1);  // the reader's, idle
+  const SlotId request = world.platform.take_over(std::move(socket), "a1", given.host);
+  world.pool.adopt({request, 0}, std::move(replica), given);
+  REQUIRE(world.until([&] { return client->body.find("two") != std::string::npos; }));
+  CHECK(world.engine.in_progress("a1"));
+  writer.server.pass(writer.waiting.back(), "data: [DONE]\n\n");
+  writer.server.end(writer.waiting.back());
+  REQUIRE(world.until([&] { return client->answered(); }));
+  CHECK(client->whole);
+  CHECK(writer.gone.empty());
+  CHECK(world.engine.open() == 0);
+  // The client's connection lives on, and the replica's is kept for the next request.
+  client->whole = false;
+  client->get("/healthz");
+  CHECK(world.until([&] { return client->whole; }));
+  CHECK(world.pool.open() == 2);
+}
+
+TEST_CASE("a stream that changed hands and breaks ends without the last chunk", "[upgrade]") {
+  World world(read_well, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
+    r.stream(client, {"one"}, false);
+  });
+  auto client = world.platform_client();
+  client->post(facts("a1", "ask"), "{}");
+  REQUIRE(world.until([&] { return client->body.find("one") != std::string::npos; }));
+  world.settle();
+  const auto stream = world.engine.streams(world.platform.answerer()).at(0);
+  const core::AttemptId attempt{stream.request, stream.attempt};
+  REQUIRE(world.until([&] {
+    const bool still = world.platform.server().hush(stream.client);
+    return world.pool.hush(attempt) && still;
+  }));
+  auto [replica, given] = world.pool.give(attempt);
+  net::UniqueFd socket = world.platform.server().give(stream.client);
+  world.platform.forget_given(stream.client);
+  world.engine.give_away(stream.request);
+  const SlotId request = world.platform.take_over(std::move(socket), "a1", given.host);
+  world.pool.adopt({request, 0}, std::move(replica), given);
+  auto& writer = world.writer(0).waiting.empty() ? world.writer(1) : world.writer(0);
+  writer.server.cut(writer.waiting.back());
+  REQUIRE(world.until([&] { return client->answered(); }));
+  CHECK(client->ended);
+  CHECK_FALSE(client->whole);
+  CHECK(world.total("POST", true) == 1);
+}
+
 }  // namespace
 }  // namespace bitternferry::testing
