Read link messages into one buffer; enforce operators' orders in one place

Link::take made and cleared half a megabyte for every message, several of which come for each request while two processes share; the buffer is now made once. Dispatcher::serve and order had the same two calls. No behaviour changes; the dispatcher's tests pass plain, not run under the sanitizers again.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -123,8 +123,7 @@
   bans_.load();
   for (const std::string& host : bans_.hosts()) {
     log_("operators: host " + host + " still offline");
-    engine_.maintain(host, true);
-    pool_.maintain(host, true);
+    enforce(host, true);
   }
   // Discovery may be silent for long: the list that was last known serves until it speaks.
   apply(config_.known);
@@ -266,7 +265,6 @@
 
 bool Dispatcher::ready() { return platform_.server().is_open() && !draining_ && engine_.hosts_known() > 0; }
 
-// The module hears of it first: what the pool gives back then goes elsewhere.
 bool Dispatcher::maintain(const std::string& host, bool offline) {
   if (!engine_.knows(host) && !bans_.contains(host)) return false;
   order(host, offline);
@@ -276,9 +274,14 @@
 void Dispatcher::order(const std::string& host, bool offline) {
   if (!bans_.set(host, offline)) return;
   log_("operators: host " + host + (offline ? " offline" : " online"));
+  enforce(host, offline);
+  partner_.tell_ban(host, offline);
+}
+
+// The module hears of it first: what the pool gives back then goes elsewhere.
+void Dispatcher::enforce(const std::string& host, bool offline) {
   engine_.maintain(host, offline);
   pool_.maintain(host, offline);
-  partner_.tell_ban(host, offline);
 }
 
 void Dispatcher::apply(const discovery::Servers& servers) {
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -59,6 +59,7 @@
   void apply(const discovery::Servers& servers);
   void serve(upgrade::Estate estate);
   void order(const std::string& host, bool offline);
+  void enforce(const std::string& host, bool offline);
   void bound();
   void speak(bool succeeds);
   void stop_taking();
--- a/src/upgrade/link.cpp
+++ b/src/upgrade/link.cpp
@@ -138,8 +138,8 @@
 }
 
 bool Link::take() {
-  std::string text(kMostMessage, '\0');
-  iovec piece{text.data(), text.size()};
+  room_.resize(kMostMessage);
+  iovec piece{room_.data(), room_.size()};
   Ancillary ancillary;
   msghdr head{};
   head.msg_iov = &piece;
@@ -150,8 +150,7 @@
   if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR)) return false;
   if (n <= 0) return end(), false;
   Fds fds = received(head);
-  text.resize(static_cast<std::size_t>(n));
-  const Json message = Json::parse(text, nullptr, false);
+  const Json message = Json::parse(room_.data(), room_.data() + n, nullptr, false);
   if (message.is_object()) owner_->on_message(message, std::move(fds));  // else: another version's
   return true;
 }
--- a/src/upgrade/link.hpp
+++ b/src/upgrade/link.hpp
@@ -52,6 +52,7 @@
   boost::asio::posix::stream_descriptor socket_;
   Owner* owner_;
   std::deque<Outgoing> queue_;
+  std::vector<char> room_;  // for a message that comes, made once
   bool waiting_ = false;
 };
 
--- a/tests/dispatcher/upgrade_test.cpp
+++ b/tests/dispatcher/upgrade_test.cpp
@@ -344,6 +344,12 @@
   }
 }
 
+// Are both ends of the stream ready to be handed over?
+bool hush(World& world, const core::Engine::Stream& stream) {
+  const bool still = world.platform.server().hush(stream.client);
+  return world.pool.hush({stream.request, stream.attempt}) && still;
+}
+
 // The world hands a stream to itself, as it would to another process: sockets, and what is left of a chunk.
 TEST_CASE("a running stream changes hands, and neither its client nor its replica notices", "[upgrade]") {
   World world(read_well, [](StandInReplica& r, SlotId client, const StandInReplica::Seen&) {
@@ -356,26 +362,19 @@
   const auto streams = world.engine.streams(world.platform.answerer());
   REQUIRE(streams.size() == 1);
   const core::AttemptId attempt{streams[0].request, streams[0].attempt};
-  REQUIRE(world.until([&] {
-    const bool still = world.platform.server().hush(streams[0].client);
-    return world.pool.hush(attempt) && still;
-  }));
+  REQUIRE(world.until([&] { return hush(world, streams[0]); }));
   auto& writer = world.writer(0).waiting.empty() ? world.writer(1) : world.writer(0);
   // One that could not be handed over yet is woken, also while its reads are being taken back.
   for (int twice = 0; twice < 2; ++twice) {
     world.platform.server().wake(streams[0].client);
     world.pool.wake(attempt);
-    world.platform.server().hush(streams[0].client);
-    world.pool.hush(attempt);
+    hush(world, streams[0]);
   }
   world.platform.server().wake(streams[0].client);
   world.pool.wake(attempt);
   world.settle();
   REQUIRE(world.engine.open() == 1);
-  REQUIRE(world.until([&] {
-    const bool still = world.platform.server().hush(streams[0].client);
-    return world.pool.hush(attempt) && still;
-  }));
+  REQUIRE(world.until([&] { return hush(world, streams[0]); }));
   writer.server.pass(writer.waiting.back(), "data: two\n\n");  // while nobody reads
   auto [replica, given] = world.pool.give(attempt);
   net::UniqueFd socket = world.platform.server().give(streams[0].client);
@@ -411,10 +410,7 @@
   world.settle();
   const auto stream = world.engine.streams(world.platform.answerer()).at(0);
   const core::AttemptId attempt{stream.request, stream.attempt};
-  REQUIRE(world.until([&] {
-    const bool still = world.platform.server().hush(stream.client);
-    return world.pool.hush(attempt) && still;
-  }));
+  REQUIRE(world.until([&] { return hush(world, stream); }));
   auto [replica, given] = world.pool.give(attempt);
   net::UniqueFd socket = world.platform.server().give(stream.client);
   world.platform.forget_given(stream.client);
