Close only parked connections to make room; a reparked one closed itself

Its log ends with the fault's stack, read with addr2line against the build: Pool::take <- Pool::send <- Engine::do_send, at address 0x20, the offset of Line::connection behind Line::host: take() had found no line for an id of its host's idle list.

Cause (src/replica/pool.cpp, shed() and park()): idle_order_ keeps naming a connection after it is taken again. Parked a second time while the pool holds its most idle connections, park() calls shed(), which took the oldest entry of idle_order_ that was connected and of kind none: the connection being parked. It closed it, and park() then put the closed id on the host's idle list; the next take() for that replica dereferenced nothing. Lines now carry 'parked', set by park() and cleared by take(); shed() closes only parked lines.

tests/dispatcher/pool_test.cpp provokes it with one idle connection allowed and four lease calls: SIGSEGV before, passes after.

--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -135,6 +135,7 @@
       continue;
     }
     host.idle.pop_back();
+    line.parked = false;
     --idle_;
     deadlines_.drop(line.limit);
     return id;
@@ -154,7 +155,7 @@
     const SlotId id = idle_order_.front();
     idle_order_.pop_front();
     const Line* line = lines_.find(id);
-    if (line == nullptr || line->kind != Kind::kNone || !line->connected) continue;
+    if (line == nullptr || !line->parked) continue;
     drop(id);
     return true;
   }
@@ -201,6 +202,7 @@
   if (host.idle.size() >= options_.most_idle || !host.ready) return drop(id);
   if (idle_ >= options_.most_idle_all) shed();
   host.idle.push_back(id);
+  line.parked = true;
   idle_order_.push_back(id);
   while (!idle_order_.empty() && idle_order_.size() > 4 * options_.most_idle_all) idle_order_.pop_front();
   ++idle_;
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -87,6 +87,7 @@
     bool connected = false, sent = false;
     bool reused = false;  // has served an exchange before
     bool hushed = false;
+    bool parked = false;      // in its host's idle list; only such a line may be closed to make room
     bool answers = false;     // bytes of an answer have come, other than informational ones
     Kind kind = Kind::kNone;  // kNone: idle, or being opened for nobody any more
     AttemptId attempt;
@@ -151,7 +152,7 @@
   std::set<std::string> offline_;  // by the operators' word, whether listed or not
   std::map<AttemptId, SlotId> attempts_;
   std::map<std::string, Lease> leases_;
-  std::deque<SlotId> idle_order_;  // all that went idle, oldest first; may name lines that are gone
+  std::deque<SlotId> idle_order_;  // all that went idle, oldest first; may name lines gone or taken since
   std::size_t idle_ = 0;
   Time reuse_failed_{};  // when a connection that was used again last broke without an answer
 };
