Test the daemon under a seccomp stand-in of the fleet's process terms

tests/confine/confine.cpp is a library loaded with LD_PRELOAD whose constructor installs a libseccomp filter before main: refused calls trap, and the SIGSYS handler reports the call to CONFINE_REPORT and returns ENOSYS (EINVAL for splice, EAFNOSUPPORT for a socket other than IPv4). A clone that is no thread gets ENOSYS from the filter itself, since posix_spawn blocks all signals around it and a blocked trap kills the process (seen with the probe: status 159); the C library's fork, posix_spawn, system and popen report through wrappers.

tests/confine/confine_test.cpp starts the real daemon so against stand-in replicas: it starts, streams an answer, reloads at SIGHUP, drains and ends 0 at SIGTERM, and the report holds nothing refused. With TMPDIR set the hand-over's Unix socket is reported and the start goes on. A probe shows each refusal with its errno and its report.

--- /dev/null
+++ b/tests/confine/confine_test.cpp
@@ -0,0 +1,204 @@
+// The real daemon under a stand-in of the fleet's process terms (tests/confine/confine.cpp): it must start,
+// serve a streamed answer, take a new file at SIGHUP and drain at SIGTERM, and try nothing that is refused
+// there.
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include "../dispatcher/world.hpp"
+
+extern char** environ;
+
+namespace bitternferry::testing {
+namespace {
+
+namespace fs = std::filesystem;
+
+std::string read_all(const fs::path& path) {
+  std::ifstream file(path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// A port that nobody holds right now: the daemon must be told where to listen before it starts.
+int free_port() {
+  boost::asio::io_context io;
+  net::tcp::acceptor acceptor(io, loopback());
+  return acceptor.local_endpoint().port();
+}
+
+std::string dial(const StandInReplica& replica) {
+  return "127.0.0.1:" + std::to_string(replica.server.local().port());
+}
+
+std::string configuration(int port, int discovery_port, const StandInReplica& reader,
+                          const StandInReplica& writer) {
+  const auto host = [](const char* name, const char* kind, const std::string& at) {
+    return std::string(R"({"host":")") + name + R"(","dial":")" + at + R"(","site":"here","class":")" + kind +
+           R"(","block":0,"health":"up","share":1.0,"born_ms":0})";
+  };
+  return R"({"name":"n1","listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":"127.0.0.1:)" +
+         std::to_string(discovery_port) + R"(","seed":"7","limits":{"memory_mb":32,"sockets":256},
+    "settings":{"myNumber":0,"balancers":1,"myZone":"here","granularityMs":4.0,"hostTypes":["reader","writer"],
+      "registryMode":"push","categories":[
+        {"name":"ask","repeat":"safe","objectiveMs":1200.0,"deadlineMs":6000.0,"worth":1.0},
+        {"name":"command","repeat":"unsafe","objectiveMs":800.0,"deadlineMs":3000.0,"worth":5.0}],
+      "familyInfo":{"dutyByKind":["read","write"],"pinLimitMs":300.0},
+      "limits":{"mostTries":4,"connectTimeoutMs":250.0,"idleCloseMs":15000.0},
+      "guarantees":{"answerSlackMs":16.0,"drainGraceMs":250.0,"coldShare":0.3,"coldMs":14000.0,
+        "tipMultiple":4.0,"tipAfterMs":2000.0}},
+    "known":{"seq":1,"whole":true,"hosts":[)" +
+         host("r1", "reader", dial(reader)) + "," + host("w1", "writer", dial(writer)) + "]}}";
+}
+
+// One process of the daemon, confined, with its folder, its log and the stand-in's report.
+class Confined {
+ public:
+  Confined(const std::string& program, std::vector<std::string> more_environment) {
+    char pattern[] = "/tmp/bitternferry-confine-XXXXXX";
+    folder_ = ::mkdtemp(pattern);
+    std::vector<std::string> environment{"LD_PRELOAD=" + std::string(CONFINE_LIBRARY),
+                                         "CONFINE_REPORT=" + (folder_ / "report").string(),
+                                         "PROXY_CONFIG=" + config().string(), "PATH=/usr/bin:/bin",
+                                         "ASAN_OPTIONS=detect_leaks=0:verify_asan_link_order=0"};
+    for (std::string& more : more_environment) environment.push_back(std::move(more));
+    environment_ = std::move(environment);
+    program_ = program;
+  }
+  ~Confined() {
+    if (pid_ > 0 && !ended_) ::kill(pid_, SIGKILL), ::waitpid(pid_, nullptr, 0);
+    std::error_code ignored;
+    fs::remove_all(folder_, ignored);
+  }
+  fs::path config() const { return folder_ / "config.json"; }
+  const fs::path& folder() const { return folder_; }
+  void write_config(const std::string& text) const { std::ofstream(config()) << text; }
+  void start() {
+    std::vector<char*> env;
+    for (std::string& e : environment_) env.push_back(e.data());
+    env.push_back(nullptr);
+    std::string name = program_;
+    char* argv[] = {name.data(), nullptr};
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    const std::string log = (folder_ / "log").string();
+    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    REQUIRE(::posix_spawn(&pid_, program_.c_str(), &actions, nullptr, argv, env.data()) == 0);
+    posix_spawn_file_actions_destroy(&actions);
+  }
+  std::string log() const { return read_all(folder_ / "log"); }
+  std::string report() const { return read_all(folder_ / "report"); }
+  void signal(int number) const { ::kill(pid_, number); }
+  // The status that it ended with; -1 if it has not ended within the bound, which only ends a failed test.
+  int wait_end() {
+    for (int i = 0; i < 2000; ++i) {
+      int status = 0;
+      if (::waitpid(pid_, &status, WNOHANG) == pid_) {
+        ended_ = true;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+      }
+      std::this_thread::sleep_for(milliseconds(10));
+    }
+    return -1;
+  }
+
+ private:
+  fs::path folder_;
+  std::vector<std::string> environment_;
+  std::string program_;
+  pid_t pid_ = 0;
+  bool ended_ = false;
+};
+
+// Asks /healthz until the daemon answers, as the platform's front does before it sends anything.
+bool healthy(Clockwork& work, int port) {
+  const net::tcp::endpoint at(boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port));
+  for (int i = 0; i < 200; ++i) {
+    StandInClient client(work, at);
+    client.get("/healthz");
+    if (work.until([&] { return client.answered(); }) && client.status == 200) return true;
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  return false;
+}
+
+struct Site {
+  Clockwork work;
+  StandInReplica reader{work, read_well};
+  StandInReplica writer{work, write_well};
+  int port = free_port();
+};
+
+TEST_CASE("confined as on the fleet, the daemon starts, streams, reloads and drains", "[confine]") {
+  Site site;
+  Confined daemon(BITTERNFERRY_DAEMON, {});
+  daemon.write_config(configuration(site.port, 1, site.reader, site.writer));
+  daemon.start();
+  REQUIRE(healthy(site.work, site.port));
+
+  StandInClient client(site.work,
+                       {boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(site.port)});
+  client.post(facts("c0ffee01", "ask"), chat_body("ask", true));
+  REQUIRE(site.work.until([&] { return client.whole; }));
+  CHECK(client.status == 200);
+  CHECK(client.body.find("yes") != std::string::npos);
+  CHECK(site.writer.count("POST", "c0ffee01") == 1);
+
+  daemon.write_config(configuration(site.port, 2, site.reader, site.writer));
+  daemon.signal(SIGHUP);
+  CHECK(site.work.until(
+      [&] { return daemon.log().find("reloaded: discovery at 127.0.0.1:2") != std::string::npos; }));
+
+  daemon.signal(SIGTERM);
+  CHECK(daemon.wait_end() == 0);
+  CHECK(daemon.log().find("drained") != std::string::npos);
+  // The stand-in was on, and nothing that the fleet refuses was tried.
+  CHECK(daemon.report() == "confined\n");
+}
+
+TEST_CASE("where TMPDIR offers a hand-over, the refused Unix socket is told and the start goes on",
+          "[confine]") {
+  Site site;
+  Confined daemon(BITTERNFERRY_DAEMON, {});
+  Confined with_folder(BITTERNFERRY_DAEMON, {"TMPDIR=" + daemon.folder().string()});
+  with_folder.write_config(configuration(site.port, 1, site.reader, site.writer));
+  with_folder.start();
+  REQUIRE(healthy(site.work, site.port));
+  with_folder.signal(SIGTERM);
+  CHECK(with_folder.wait_end() == 0);
+  CHECK(with_folder.report().find("refused socket family 1\n") != std::string::npos);
+  CHECK(with_folder.log().find("drained") != std::string::npos);
+}
+
+TEST_CASE("the stand-in refuses and reports what the fleet refuses, and lets threads and IPv4 be",
+          "[confine]") {
+  Confined probe(CONFINE_PROBE, {});
+  probe.start();
+  REQUIRE(probe.wait_end() == 0);
+  const std::string said = probe.log(), report = probe.report();
+  CHECK(said.find("fork -1 38\n") != std::string::npos);  // ENOSYS
+  CHECK(said.find("posix_spawn -1 38\n") != std::string::npos);
+  CHECK(said.find("execve -1 38\n") != std::string::npos);
+  CHECK(said.find("socket_unix -1 97\n") != std::string::npos);  // EAFNOSUPPORT
+  CHECK(said.find("socketpair -1 97\n") != std::string::npos);
+  CHECK(said.find("splice -1 22\n") != std::string::npos);  // EINVAL
+  CHECK(said.find("sendfile -1 38\n") != std::string::npos);
+  CHECK(said.find("io_uring_setup -1 38\n") != std::string::npos);
+  CHECK(said.find("socket_inet 0 0\n") != std::string::npos);
+  CHECK(said.find("thread 0 0\n") != std::string::npos);
+  for (const char* call : {"fork", "posix_spawnp", "execve", "socket family 1", "socketpair", "splice",
+                           "sendfile", "io_uring_setup"}) {
+    CAPTURE(call);
+    CHECK(report.find(std::string("refused ") + call + "\n") != std::string::npos);
+  }
+}
+
+}  // namespace
+}  // namespace bitternferry::testing
--- /dev/null
+++ b/tests/confine/probe.cpp
@@ -0,0 +1,56 @@
+// A program that tries each call that the fleet's process terms refuse, and two that they allow, and prints
+// what each returned: "name result errno". Started under the stand-in, it shows that the stand-in can fail.
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/sendfile.h>
+#include <sys/socket.h>
+#include <sys/syscall.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <thread>
+
+extern char** environ;
+
+namespace {
+
+void show(const char* name, long result) {
+  std::printf("%s %ld %d\n", name, result < 0 ? -1L : 0L, result < 0 ? errno : 0);
+  std::fflush(stdout);
+}
+
+long close_after(long fd) {
+  if (fd >= 0) ::close(static_cast<int>(fd));
+  return fd;
+}
+
+}  // namespace
+
+int main() {
+  const pid_t child = ::fork();
+  if (child == 0) ::_exit(0);
+  if (child > 0) ::waitpid(child, nullptr, 0);
+  show("fork", child);
+  char* const argv[] = {const_cast<char*>("true"), nullptr};
+  pid_t spawned = 0;
+  const int spawn = ::posix_spawnp(&spawned, "true", nullptr, nullptr, argv, environ);
+  if (spawn == 0) ::waitpid(spawned, nullptr, 0);
+  errno = spawn;
+  show("posix_spawn", spawn == 0 ? 0 : -1);
+  show("execve", ::execve("/bin/true", argv, environ));
+  show("socket_unix", close_after(::socket(AF_UNIX, SOCK_STREAM, 0)));
+  int pair[2];
+  show("socketpair", ::socketpair(AF_UNIX, SOCK_STREAM, 0, pair));
+  show("socket_inet", close_after(::socket(AF_INET, SOCK_STREAM, 0)));
+  int pipes[2];
+  if (::pipe(pipes) != 0) return 1;
+  show("splice", ::splice(pipes[0], nullptr, pipes[1], nullptr, 1, SPLICE_F_NONBLOCK));
+  show("sendfile", ::sendfile(pipes[1], pipes[0], nullptr, 1));
+  show("io_uring_setup", ::syscall(SYS_io_uring_setup, 4, nullptr));
+  bool ran = false;
+  std::thread([&ran] { ran = true; }).join();
+  show("thread", ran ? 0 : -1);
+  return 0;
+}
