A request no longer counts itself in the line that it would join

The refusal is hopeless() in src/router.cpp: while first tokens are late (lateness above 0.6), it refuses by a hash where the requests waiting exceed room = (starts in 3 s + 1) / 3 s x shortest objective x 0.8. The new request is already in requests_ there and counted as waiting. At a few tens of requests a second that one is noise; at the fleet's half a request a second a dispatcher, room is about 0.53, so the request alone made every dispatcher refuse 47% of all it took as soon as answers ran late. Ruled out: the cold budget (cold_allows) and the shares of tenants, which refuse nothing.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -703,7 +703,7 @@
     if (q.r.client_deadline - now_ < scaled(q.objective(), kNoTime * lateness())) return true;
     if (lateness() < kLate) return false;
     while (!starts_.empty() && starts_.front() < now_ - kStartWindow) starts_.pop_front();
-    double waiting = 0;
+    double waiting = -1;  // q is among them, and no line of its own
     for (const auto& [id, o] : requests_) {
       const bool stuck =
           o.overtaken >= kOvertaken || (o.out && now_ > o.sent + scaled(o.objective(), kStuck));
