Cold replicas are open to a fair part of all requests, drawn by request

At fault: Impl::cold_allows (router.cpp). Below one request in a window it drew a turn for a router and a window of 2 s, and a dispatcher with 0.8 requests a second has no request for its turn; tie() and stream_load() then weighed the cold replica down once more, though its budget had already been set. And choose_reader's min-max: one reader with 190,000 tokens waiting made 5,000 and 80,000 look alike, so that a kept text outweighed seconds of waiting.

Now each request draws the cold replicas that are open to it, at the part of all that one replica should get, less while it may have little of its power; an open writer in the reader's cell is taken, an open reader gets a bonus. The spread of load is bounded by twice its mean.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -21,6 +21,7 @@
 constexpr int kBlockTokens = 16;                      // lengths in the index are counted in these
 constexpr std::size_t kIndexDefault = 31250;          // blocks, where the settings tell no memory
 constexpr double kSpreadFloor = 0.5;                  // of the mean load: min-max stretches no smaller spread
+constexpr double kSpreadMost = 2;                     // ... and no larger one: one jammed host hides no line
 constexpr double kTieBand = 0.05;                     // scores this near the best are ties: see tie
 constexpr double kLoadFloorTokens = 5000;             // least mean load: an idle pool's noise is no load
 constexpr double kStatesFloor = 8;                    // fewer states at the fullest reader are no shortage
@@ -48,8 +49,8 @@
 constexpr double kMoveQuiet = 0.5;        // of an objective, in silence: a hung writer's streams move
 constexpr Duration kFullFor = Ms(300);    // rest of a full host
 constexpr Duration kKeyRest = Ms(20000);  // ... for a class and tenant that it turned away
-constexpr double kColdTurns = 3;   // turns for each that the budget has: few are wanted, see cold_allows
-constexpr double kColdCare = 0.6;  // part of the cold budget taken: the others may send more than we
+constexpr double kColdCare = 0.6;         // part of the cold budget taken: the others may send more than we
+constexpr double kOpenTurn = 0.3;         // added to the score of a cold reader that is open to the request
 constexpr Duration kTickEvery = Ms(20), kRateWindow = Ms(8000);  // of own results of warm hosts
 constexpr double kPinCare = 0.7;  // of the pin limit after which a state is let go
 constexpr Duration kLateMemory = Ms(4000), kStartWindow = Ms(3000);  // see note_lateness, hopeless
@@ -134,7 +135,8 @@
 };
 
 struct Host : HostEntry, Standing {
-  double near = 1;  // part of what a reader reads that is written close to it: see place_hosts
+  double near = 1;   // part of what a reader reads that is written close to it: see place_hosts
+  double peers = 1;  // ready writers of its cell, for a writer
   PrefixIndex index;
   double read_tokens = 0;  // prompt tokens of own attempts still to be read there
   LoadReport report;
@@ -152,8 +154,8 @@
   bool awaited() const { return reads + streams > begun; }  // an own attempt there has shown nothing yet
 };
 
-struct Place {  // a cell, a zone or all: what it has of each
-  double readers = 0, writers = 0;
+struct Place {                                         // a cell, a zone or all: what it has of each
+  double readers = 0, writers = 0, ready_writers = 0;  // by weight, and counted
   double near(const Place& all) const {
     return std::min(1.0, writers * all.readers / std::max(readers * all.writers, 1e-9));
   }
@@ -247,6 +249,7 @@
     const auto it = hosts_.find(name);
     return it == hosts_.end() ? nullptr : &it->second;
   }
+  static bool same_cell(const Host& a, const Host& b) { return a.zone == b.zone && a.cell == b.cell; }
 
   // ---- host health ----
 
@@ -313,10 +316,9 @@
     act(Log{"host " + h.host + " returned"});
   }
 
-  // Two failures in a row eject; while the role's hosts fail hardly ever, the first one tells enough. A new
-  // connection that never comes up tells enough at any time. `lives`: the host runs, or did a moment ago, and
-  // one connection or answer broke. Where the process has died the next attempt shows it at once; where
-  // single connections are reset, leaving their hosts out had half of the fleet out, and a jam at the rest.
+  // Two failures in a row eject; while the role's hosts fail hardly ever, the first one tells enough, and so
+  // does a new connection that never comes up. `lives`: the host runs, or did a moment ago, and one
+  // connection or answer broke: leaving such hosts out had half of the fleet out, and a jam at the rest.
   void note_failure(Host& h, Verdict verdict, bool lives = false) {
     double& fails = fails_[ix(h.role)];
     h.doubt += 1;
@@ -347,19 +349,22 @@
   double power(const Host& h) const { return cold(h) ? std::max(0.1, s_->cold_share) : 1.0; }
 
   // Our part of the tip budget: what a warm peer has done for us is our part of what a warm host can do. Only
-  // results count: a storm of full answers must not raise it (ic21194). Below one request in a window a hash
-  // gives turns, since 150 routers sending "just one" broke the rule (ia523c0); few of those whose turn it is
-  // want it while most hosts are warm, so more are given then.
-  bool cold_allows(const Host& h) const {
+  // results count: a storm of full answers must not raise it (ic21194). Below one request in a window each
+  // request draws the cold hosts that are open to it, at a fair part of all, since 150 routers sending "just
+  // one" broke the rule (ia523c0). Turns of a router went unused by its few requests: the warm hosts jammed.
+  bool by_turns(const Host& h) const { return cold(h) && cold_budget_[ix(h.role)] < 1; }
+  bool cold_allows(const Host& h, const Pending& q) const {
     if (!cold(h)) return true;
-    const double budget =
-        kColdCare * s_->tip_multiple * s_->cold_share * seconds(s_->tip_window) * warm_rate_[ix(h.role)];
     const auto used =
         std::count_if(h.sends.begin(), h.sends.end(), [&](Time t) { return t > now_ - s_->tip_window; });
+    if (!by_turns(h)) return static_cast<double>(used) < std::round(cold_budget_[ix(h.role)]);
+    const double warmed = seconds(now_ - std::max(h.started, h.back)) / seconds(s_->cold_time);
+    const auto reader = h.role == Role::kWriter ? hosts_.find(q.reader) : hosts_.end();
+    const bool near = reader != hosts_.end() && same_cell(h, reader->second);
+    const double fair = std::min(1.0, kColdCare * s_->tip_multiple * std::lerp(s_->cold_share, 1.0, warmed)) /
+                        (near ? h.peers : ready_[ix(h.role)]);
     const auto window = static_cast<std::uint64_t>(now_ / std::max(s_->tip_window, Duration(1)));
-    const double turn = unit(mix(h.hash ^ mix(window)) ^ mix(static_cast<std::uint64_t>(s_->router_number)));
-    const double whole = std::floor(budget), spare = whole < 1 && mostly_warm_[ix(h.role)] ? kColdTurns : 1;
-    return static_cast<double>(used) < whole + (turn < (budget - whole) * spare ? 1 : 0);
+    return used < 1 && unit(mix(h.hash ^ mix(window)) ^ hash_text(q.r.id)) < fair;
   }
 
   // Results a second that a warm host of each role gives us; without one left, what the last ones gave.
@@ -368,16 +373,18 @@
       std::deque<Time>& served = served_[role];
       while (!served.empty() && served.front() < now_ - kRateWindow) served.pop_front();
       const Pool p = pool(static_cast<Role>(role));
-      mostly_warm_[role] = 2 * p.warm >= p.ready;
+      ready_[role] = p.ready;
       const double span = std::min(seconds(kRateWindow), seconds(now_ - born_));
-      if (p.warm > 0) warm_rate_[role] = static_cast<double>(served.size()) / p.warm / std::max(span, 1.0);
+      if (p.warm <= 0) continue;
+      cold_budget_[role] = kColdCare * s_->tip_multiple * s_->cold_share * seconds(s_->tip_window) *
+                           static_cast<double>(served.size()) / p.warm / std::max(span, 1.0);
     }
   }
 
   // ---- scoring ----
   // May this request go to this host now? `whole`: it would be served there, so an effect is possible.
   bool usable(const Host& h, const Pending& q, bool whole) const {
-    if (h.state != HostState::kReady || now_ < h.full_until || !cold_allows(h)) return false;
+    if (h.state != HostState::kReady || now_ < h.full_until || !cold_allows(h, q)) return false;
     const auto rest = h.rests.find({q.cls->name, q.r.tenant});
     if (rest != h.rests.end() && now_ < rest->second) return false;
     if (std::find(q.tried.begin(), q.tried.end(), h.host) != q.tried.end()) return false;
@@ -398,7 +405,6 @@
   // that share nothing send a session and its text to the same reader, and a hot text finds enough of them.
   // What a count of one is worth is told by how many texts were seen once and twice (absolute discounting):
   // where most are rare, a single request is no heat, and copies of rare texts push all else out (L2048df).
-  // Covers new texts and mixed traffic too. May hurt when a text turns hot: it spreads some requests later.
   std::uint64_t slot(const Pending& q) const {
     if (q.r.shared_prefix == 0) return mix(q.r.session);
     const auto heat = heat_.find(q.r.shared_prefix);
@@ -449,7 +455,7 @@
   // Ties go to the highest of a weighted hash of key and host, the same for all routers.
   double tie(const Host& h, std::uint64_t key) const {
     const double share = h.role == Role::kMixed ? kMixedShare / tilt() : kFarShare + (1 - kFarShare) * h.near;
-    return std::log(unit(key ^ h.hash)) / (h.weight * power(h) * share);
+    return std::log(unit(key ^ h.hash)) / (h.weight * (by_turns(h) ? 1 : power(h)) * share);
   }
 
   struct Scored {
@@ -491,7 +497,7 @@
                      ? reported(*c.host->report.memory_share, pools[role].memory, *c.host)
                      : c.host->waiting_states / most_states;
     }
-    const double spread = std::max(most - least, kSpreadFloor);  // guards against min-max stretching noise
+    const double spread = std::clamp(most - least, kSpreadFloor, kSpreadMost);
     const double total = kPrefixWeight + kLoadWeight + kMemoryWeight;
     double top = 0;
     for (Scored& c : candidates) {
@@ -499,6 +505,7 @@
       const double free_load = std::clamp(1 - (c.load - least) / spread, 0.0, 1.0);
       const double free_memory = std::clamp(1 - c.memory, 0.0, 1.0);
       c.score = (kPrefixWeight * prefix + kLoadWeight * free_load + kMemoryWeight * free_memory) / total;
+      if (by_turns(*c.host)) c.score += kOpenTurn;
       top = std::max(top, c.score);
     }
     Host* best = nullptr;
@@ -549,11 +556,11 @@
       }
       return best;
     };
-    const auto in_cell = [&](const Host& h) { return h.zone == reader->zone && h.cell == reader->cell; };
-    Host* best = least([](const Host& h) { return h.welcome ? 1.0 : 0.0; });
+    const auto in_cell = [&](const Host& h) { return reader != nullptr && same_cell(h, *reader); };
+    Host* best = least([&](const Host& h) { return h.welcome || (by_turns(h) && in_cell(h)) ? 1.0 : 0.0; });
     if (best != nullptr) return best;
     best = least([](const Host&) { return 1.0; });
-    Host* near = reader == nullptr ? nullptr : least([&](const Host& h) { return in_cell(h) ? 1.0 : 0.0; });
+    Host* near = least([&](const Host& h) { return in_cell(h) ? 1.0 : 0.0; });
     if (near == nullptr) return best;
     const double leave = kLeaveCell + 1.0 / s_->router_count;  // few routers: own counts see the rest
     const double mean = sum / static_cast<double>(candidates.size());
@@ -583,7 +590,7 @@
     q.predicted = reads && h.role != Role::kWriter ? covered(h, q) : 0;
     q.to_read = reads ? std::max(0, q.r.prompt_tokens - q.predicted) : 0;
     const Host* source = q.state_held ? find_host(q.reader) : nullptr;
-    q.far = source != nullptr && (source->zone != h.zone || source->cell != h.cell);
+    q.far = source != nullptr && !same_cell(*source, h);
     q.work = kBaseTokens + (h.role == Role::kWriter ? 0 : h.read_tokens + q.to_read);
     ++q.attempts;
     const bool cut = !s_->may_cancel && may_repeat(q, h);  // else watch() cancels, knowing more by then
@@ -682,10 +689,8 @@
   double lateness() const { return late_sum_ / (late_count_ + kLatePrior); }
 
   // Is this age more than what first tokens take everywhere now? While all are late, being late tells nothing
-  // of a host: one of many routers has attempts at few hosts, so the others' lines look empty to it, and in a
-  // jam it cancelled reads that then ran twice and ejected good hosts whose texts were lost with them
-  // (L2048df, i0ea1d7, i2d69a7). Covers overload, lost texts, slow links, restarts. May keep a hung host in
-  // use for longer when it hangs in a jam; its lag still counts in its load.
+  // of a host, whose line one of many routers can't see: in a jam it cancelled reads that then ran twice, and
+  // ejected good hosts (L2048df, i0ea1d7, i2d69a7). May keep a hung host in use for longer in a jam.
   bool stands_out(const Pending& q, Duration age) const {
     return age > scaled(q.objective(), kAlone * lateness());
   }
@@ -693,11 +698,9 @@
   // Overload: lines that grow past the objective serve nobody in time, and never drain while clients retry.
   // So while first tokens are late, only what should start within the shortest objective at their present
   // rate is taken; over-share work needs a shorter line. A hash settles the fractions that many routers have.
-  // What stands at hosts that went silent is no line either: with two of them a router of many let nobody in
-  // until they timed out (i9a2e8d). Covers hangs, lost messages, cuts; lengthens the line in a deep jam.
-  // A try whose client leaves before first tokens come now is work for nobody, however early the jam: clients
-  // that left after 0.4 s and came seven times had half of all reads cut (iacc812). Covers impatient clients,
-  // retry storms, tries that arrive late; refuses a lucky fast one in a jam.
+  // What stands at hosts that went silent is no line: with two of them nobody was let in until they timed out
+  // (i9a2e8d). A try whose client leaves before first tokens come now is work for nobody: clients that left
+  // after 0.4 s and came seven times had half of all reads cut (iacc812).
   bool hopeless(const Pending& q) {
     note_lateness(0, 0);
     if (q.r.client_deadline - now_ < scaled(q.objective(), kNoTime * lateness())) return true;
@@ -824,18 +827,19 @@
   // All that a reader's cell can't write crosses the cell's one link, and slower to another zone. Where much
   // has to, that link jams while the reader seems well: cells without writers kept states waiting for 2 s,
   // others 40 ms (leuven-later big-1). No router sees a link often enough to measure it, so the list tells:
-  // such a reader wins fewer ties. Covers slow links and cells whose writers are gone; costs balance where
-  // links are wide.
+  // such a reader wins fewer ties, which costs balance where links are wide.
   void place_hosts() {
     std::map<std::pair<std::string, int>, Place> cells;
     std::map<std::string, Place> zones;
     Place all;
     for (const auto& [name, h] : hosts_) {
       if (h.state != HostState::kReady || h.role == Role::kMixed) continue;
+      cells[{h.zone, h.cell}].ready_writers += h.role == Role::kWriter ? 1 : 0;
       for (Place* p : {&cells[{h.zone, h.cell}], &zones[h.zone], &all})
         (h.role == Role::kReader ? p->readers : p->writers) += h.weight;
     }
     for (auto& [name, h] : hosts_) {
+      h.peers = std::max(1.0, cells[{h.zone, h.cell}].ready_writers);
       const double cell = cells[{h.zone, h.cell}].near(all);
       h.near = cell + (1 - cell) * kOtherZone * zones[h.zone].near(all);
     }
@@ -944,8 +948,7 @@
     const Verdict v = o.verdict;
     if (v == Verdict::kRead) {
       observe_start(h, q, o.elapsed);
-      // Logged only: a clear index measured as worse, what was read is kept again (leuven rough-1 0.87 ->
-      // 0.28).
+      // Logged only: a clear index measured as worse, for it is kept again (leuven rough-1 0.87 -> 0.28).
       if (o.note + kBlockTokens < q.predicted) act(Log{"host " + h.host + " lost texts"});
     } else if (v == Verdict::kServed) {
       h.last_alive = now_;
@@ -960,8 +963,7 @@
     }
   }
 
-  // A full host rests for all only when it turned away others too: else the answer may concern one tenant or
-  // class. Lateness shows whether room is short, so full answers are no sign of it.
+  // A full host rests for all only when it turned away others too: else it may concern one tenant or class.
   void note_full(Host& h, const Pending& q) {
     std::erase_if(h.rests, [&](const auto& rest) { return rest.second <= now_; });
     h.rests[{q.cls->name, q.r.tenant}] = now_ + kKeyRest;
@@ -1064,8 +1066,7 @@
   Norm far_norm_;                           // the same for states fetched from another cell
   std::array<Norm, 3> start_norms_;         // microseconds for a token of start work, by role
   std::array<std::deque<Time>, 3> served_;  // recent results, by role
-  std::array<double, 3> fails_{}, warm_rate_{};
-  std::array<bool, 3> mostly_warm_{};
+  std::array<double, 3> fails_{}, cold_budget_{}, ready_{};
   double late_sum_ = 0, late_count_ = 0;  // see note_lateness
   Time late_at_{};
   Duration shortest_{};  // objective of any class: the patient must not fill the line for the others
