--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -58,6 +58,7 @@
   return static_cast<std::size_t>(value->get<double>());
 }
 
+// A request may knock at dead readers for so many sends, not for ever.
 constexpr int kConnectsPerAttempt = 4;
 
 }  // namespace
@@ -100,8 +101,7 @@
   if (member(object, "known") != nullptr) config.source["known"] = Json::object();
   try {
     config.settings = basaltvane::wire::parse_settings(*settings);
-    // On sockets an attempt counts once its last byte has come; a bound keeps a request from knocking for
-    // ever.
+    // On sockets an attempt counts once its last byte has come.
     config.settings.free_connects = kConnectsPerAttempt * config.settings.max_attempts;
     basaltvane::Router(config.settings, 0);  // its own checks
   } catch (const std::exception& e) {
--- a/src/app/dispatcher.hpp
+++ b/src/app/dispatcher.hpp
@@ -46,9 +46,8 @@
   Dispatcher(Loop& loop, const Config& config, const Texts& texts, core::Log log,
              ReadAgain read_again = {});  // throws where a file is bad
   void start();
-  void log_requests() {
-    engine_.attach(core::RequestLog(log_));
-  }               // a line for each thing that happens to one
+  // From here on a line for each thing that happens to a request.
+  void log_requests() { engine_.attach(core::RequestLog(log_)); }
   void reload();  // as SIGHUP asks: all of the new files takes effect or, where one is bad, nothing
   void drain();   // as SIGTERM asks: takes what still comes for a while, finishes everything, ends the loop
   net::tcp::endpoint address() { return platform_.server().local(); }
--- a/src/fleet/backoff.hpp
+++ b/src/fleet/backoff.hpp
@@ -26,7 +26,6 @@
   Duration failed(double draw);
   void succeeded() { failures_ = 0; }
   int failures() const { return failures_; }
-  const BackoffShape& shape() const { return shape_; }
 
  private:
   BackoffShape shape_;
--- a/tools/account.py
+++ b/tools/account.py
@@ -31,12 +31,12 @@
         if request is None:
             continue
         if what == "sent":
-            request["attempts"].append({"host": facts["host"], "at": at, "end": None, "verdict": "out", "facts": {}})
+            request["attempts"].append({"host": facts["host"], "at": at, "end": None, "verdict": "out"})
         elif what == "first":
             request["first"] = at
         elif what == "ended":
             attempt = request["attempts"][int(facts["attempt"])]
-            attempt.update(end=at, verdict=facts["verdict"], facts=facts)
+            attempt.update(end=at, verdict=facts["verdict"])
         elif what == "answered":
             request["end"] = (at, rest.split()[0])
     return list(requests.values())
