The settings tell what may be probed, doubled and told, and what each costs

Need: decisions on probes, second copies, messages between routers, load reports and waste follow from settings that the parser passed over. Settings now holds mayProbe, mayDuplicate, peers, marksRetry, openCap, the source and fields of load reports, what a weight stands for, the zones, askEveryMs, all prices that a decision can weigh, the goal's weights, worthBy and a class's aimStretch. A key that is missing or null means not allowed, not priced, not told; a word that only informs and is not known here counts as not told, so that a new one stops nobody. Nothing decides by them yet.

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -1,5 +1,6 @@
 #include "wire.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <limits>
 #include <type_traits>
@@ -73,6 +74,17 @@
   throw WireError("field '" + key + "': unknown word '" + value + "'");
 }
 
+// The same for a word that only informs: one that is not known here may be new.
+template <class E>
+E known_word(const Json& object, const std::string& key, E absent,
+             std::initializer_list<std::pair<const char*, E>> words) {
+  const auto value = opt<std::string>(object, key);
+  for (const auto& [name, code] : words) {
+    if (value == name) return code;
+  }
+  return absent;
+}
+
 Verdict parse_verdict(const std::string& value) {
   return word<Verdict>(value, "verdict",
                        {{"S", Verdict::kServed},
@@ -116,6 +128,58 @@
   return report;
 }
 
+namespace {
+
+// An object that may be missing; then all that stands in it is absent.
+const Json& opt_object(const Json& object, const std::string& key) {
+  static const Json none = Json::object();
+  const auto it = object.find(key);
+  if (it == object.end() || it->is_null()) return none;
+  if (!it->is_object()) throw WireError("field '" + key + "' has the wrong type");
+  return *it;
+}
+
+std::vector<std::string> opt_words(const Json& object, const std::string& key) {
+  std::vector<std::string> words;
+  const auto it = object.find(key);
+  if (it == object.end() || it->is_null()) return words;
+  if (!it->is_array()) throw WireError("field '" + key + "' has the wrong type");
+  for (const Json& name : *it) words.push_back(convert<std::string>(name, key));
+  return words;
+}
+
+// Names that are not known here may be new: they are passed over.
+std::vector<LoadField> parse_load_fields(const Json& info) {
+  static const std::pair<const char*, LoadField> names[] = {
+      {"rif", LoadField::kInHand},     {"q", LoadField::kQueued},
+      {"busy", LoadField::kBusy},      {"lat_ms", LoadField::kLatency},
+      {"rate", LoadField::kRate},      {"fail_rate", LoadField::kFailRate},
+      {"x0", LoadField::kMemoryShare}, {"x1", LoadField::kPromptKilotokens}};
+  std::vector<LoadField> fields;
+  for (const std::string& given : opt_words(info, "fields")) {
+    for (const auto& [name, field] : names)
+      if (given == name) fields.push_back(field);
+  }
+  return fields;
+}
+
+Prices parse_prices(const Json& prices, const Json& info) {
+  Prices p;
+  p.waste = opt<double>(prices, "waste");
+  p.probe = opt<double>(prices, "probe");
+  p.cross_zone = opt<double>(prices, "crossZone");
+  p.late_fail = opt<double>(prices, "lateFail");
+  p.peer = opt<double>(prices, "peer");
+  p.far = opt<double>(info, "moveFee");
+  p.move = opt<double>(prices, "moves");
+  p.connection = opt<double>(prices, "connection");
+  p.handshake = opt<double>(prices, "handshake");
+  p.list_line = opt<double>(prices, "registryMode");
+  return p;
+}
+
+}  // namespace
+
 Settings parse_settings(const Json& env) {
   Settings s;
   const Json& info = need_object(env, "familyInfo");
@@ -124,6 +188,7 @@
   s.router_number = need<int>(env, "myNumber");
   s.router_count = need<int>(env, "balancers");
   s.zone = opt<std::string>(env, "myZone");
+  s.zones = opt_words(env, "dcs");
   std::size_t i = 0;
   for (const Json& c : need_array(env, "categories")) {
     RequestClass k;
@@ -138,6 +203,7 @@
     k.deadline = need_ms(c, "deadlineMs");
     k.worth = need<double>(c, "worth");
     k.late_value = opt<double>(c, "lateValue");
+    k.objective_stretch = opt<double>(c, "aimStretch");
     k.objective_per_1000_tokens = Duration(std::llround(element(info, "aimUsPer1000PromptTokens", i)));
     k.token_objective = from_ms(element(info, "tokenAimMs", i), "tokenAimMs");
     s.classes.push_back(k);
@@ -159,6 +225,15 @@
   }
   s.list_by_asking =
       word<bool>(need<std::string>(env, "registryMode"), "registryMode", {{"push", false}, {"ask", true}});
+  s.ask_every = opt_ms(rules, "askEveryMs");
+  s.weights = known_word(env, "weights", WeightMeaning::kNothing,
+                         {{"nominal", WeightMeaning::kNominal},
+                          {"rough", WeightMeaning::kRough},
+                          {"live", WeightMeaning::kLive}});
+  const Json& reports = opt_object(env, "loadInfo");
+  s.report_source = known_word(reports, "source", ReportSource::kNone,
+                               {{"piggyback", ReportSource::kInAnswers}, {"pull", ReportSource::kInProbes}});
+  s.report_fields = parse_load_fields(reports);
   s.writers_read = opt<bool>(info, "writersRead");
   s.early_pairing = opt<bool>(info, "earlyPairing");
   s.resume = opt<bool>(info, "resume");
@@ -166,10 +241,21 @@
   s.connect_timeout = opt_ms(limits, "connectTimeoutMs");
   s.idle_close = opt_ms(limits, "idleCloseMs");
   s.may_cancel = opt<bool>(limits, "mayCancel");
+  s.may_probe = opt<bool>(limits, "mayProbe");
+  s.may_duplicate = opt<bool>(limits, "mayDuplicate");
+  s.peers = opt<bool>(limits, "peers");
+  s.marks_retry = opt<bool>(opt_object(env, "clientHabits"), "marksRetry");
   s.retry_advice = opt<bool>(limits, "retryAfter");
   s.max_retry_in = opt_ms(limits, "maxRetryAfterMs");
   s.max_attempts = need<int>(limits, "mostTries");
+  s.most_open = static_cast<int>(
+      std::clamp<double>(opt<double>(limits, "openCap"), 0, std::numeric_limits<int>::max()));
+  s.worth_by_work = known_word(env, "worthBy", false, {{"work", true}});
   s.over_share_worth = opt<double>(env, "overShareWorth", 1.0);
+  s.prices = parse_prices(opt_object(env, "prices"), info);
+  const Json& goal = opt_object(env, "goal");
+  s.goal = {opt<double>(goal, "whole"), opt<double>(goal, "worstWindow"), opt<double>(goal, "worstClass"),
+            opt<double>(goal, "worstTenant")};
   s.tick = need_ms(env, "granularityMs");
   s.answer_slack = need_ms(rules, "answerSlackMs");
   s.drain_grace = need_ms(rules, "drainGraceMs");
--- a/include/basaltvane/router.hpp
+++ b/include/basaltvane/router.hpp
@@ -26,6 +26,9 @@
 enum class Repeat { kSafe, kKeyed, kUnsafe };
 enum class Group { kAll, kZone, kCell };  // the hosts that discard each other's repeats of a keyed request
 enum class HostState { kGone, kDraining, kReady };
+enum class ReportSource { kNone, kInAnswers, kInProbes };  // where load reports come; kInAnswers: in both
+enum class LoadField { kInHand, kQueued, kBusy, kLatency, kRate, kFailRate, kMemoryShare, kPromptKilotokens };
+enum class WeightMeaning { kNothing, kNominal, kRough, kLive };  // what HostEntry::weight stands for
 enum class ListKind { kFull, kFailed, kCached, kDelta };
 enum class Verdict {
   kServed,
@@ -50,6 +53,7 @@
   Duration token_objective{};  // wanted mean gap between tokens
   double worth{};
   double late_value{};
+  double objective_stretch{};  // the objective grows by this multiple of the request's own work
 };
 
 struct Tenant {
@@ -63,24 +67,56 @@
   double memory_tokens{};
 };
 
+// Points off the result, each times its share or rate; 0: not priced.
+struct Prices {
+  double waste{};       // host work that served no answer, as a share of the work asked for
+  double probe{};       // probes and holds, by first try
+  double cross_zone{};  // attempts that cross zones, by first try
+  double late_fail{};   // worth that ended unserved after its objective
+  double peer{};        // full messages (256 bytes) delivered to routers, by first try
+  double far{};         // prompt tokens moved out of their cell, as a share of all
+  double move{};        // Move, by first try
+  double connection{};  // mean of open connections / (100 x hosts)
+  double handshake{};   // new connections, by first try
+  double list_line{};   // lines of lists sent / (100 x first tries)
+};
+
+// How the parts of the result are weighted.
+struct Goal {
+  double whole{}, worst_window{}, worst_class{}, worst_tenant{};
+};
+
 struct Settings {
   int router_number{};
   int router_count{};
-  std::string zone;
+  std::string zone;                // its own ...
+  std::vector<std::string> zones;  // ... among these; may be empty
   std::vector<RequestClass> classes;
   std::vector<Tenant> tenants;  // may be empty
   std::vector<HostKind> kinds;
   bool list_by_asking{};  // host lists come only after Subscribe or FetchList
-  bool writers_read{};    // a writer without a state reads the prompt itself
-  bool early_pairing{};   // Hold is allowed
-  bool resume{};          // Move is allowed; a broken stream comes again
+  Duration ask_every{};   // ... and one that has not asked for so long counts as told
+  WeightMeaning weights{};
+  ReportSource report_source{};
+  std::vector<LoadField> report_fields;
+  bool writers_read{};   // a writer without a state reads the prompt itself
+  bool early_pairing{};  // Hold is allowed
+  bool resume{};         // Move is allowed; a broken stream comes again
   bool may_cancel{};
-  bool retry_advice{};  // Refuse may carry retry_in
+  bool may_probe{};
+  bool may_duplicate{};  // two attempts of one request may be out together
+  bool peers{};          // routers may send each other messages
+  bool marks_retry{};    // clients mark their repeats: see Request::client_retry
+  bool retry_advice{};   // Refuse may carry retry_in
   Duration max_retry_in{};
   int max_attempts{};
-  int free_connects{};  // among so many sends, one to a reader that ends as kConnectFailed is none of those.
-                        // A writer is not knocked at for long: a state is held meanwhile (see pin_limit).
+  int free_connects{};   // among so many sends, one to a reader that ends as kConnectFailed is none of those.
+                         // A writer is not knocked at for long: a state is held meanwhile (see pin_limit).
+  int most_open{};       // requests that reach a router and are not answered yet; 0: not told
+  bool worth_by_work{};  // worth counts by work; else by request
   double over_share_worth{};
+  Prices prices;
+  Goal goal;
   Duration tick{};  // least time between two batches of events
   Duration answer_slack{};
   Duration drain_grace{};
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -130,6 +130,64 @@
   EXPECT_NE(error_of({R"({"tickDue":{"tag":1}})"}).find("dispatcher"), std::string::npos);
 }
 
+TEST(Wire, WhatTheSettingsAllowAndPriceIsRead) {
+  Json told = env();
+  told["dcs"] = {"east", "west"};
+  told["weights"] = "rough";
+  told["worthBy"] = "work";
+  told["goal"] = {{"whole", 0.3}, {"worstWindow", 0.4}, {"worstClass", 0.2}, {"worstTenant", 0.1}};
+  told["clientHabits"] = {{"marksRetry", true}};
+  told["loadInfo"] = {{"source", "piggyback"}, {"fields", {"x1", "something new", "rif"}}};
+  told["prices"] = {{"waste", 0.22}, {"probe", 0.5},      {"crossZone", 0.028}, {"lateFail", 0.08},
+                    {"peer", 0.003}, {"moves", 0.01},     {"connection", 0.02}, {"handshake", 0.04},
+                    {"new", "x"},    {"registryMode", 1}, {"origin", 9}};
+  told["familyInfo"]["moveFee"] = 0.04;
+  told["categories"][0]["aimStretch"] = 1.5;
+  told["guarantees"]["askEveryMs"] = 10000;
+  told["limits"].update({{"mayProbe", true}, {"mayDuplicate", true}, {"peers", true}, {"openCap", 27264}});
+  const Settings s = parse_settings(told);
+  EXPECT_TRUE(s.may_probe && s.may_duplicate && s.peers && s.marks_retry && s.worth_by_work);
+  EXPECT_EQ(s.report_source, ReportSource::kInAnswers);
+  EXPECT_EQ(s.report_fields, (std::vector<LoadField>{LoadField::kPromptKilotokens, LoadField::kInHand}));
+  EXPECT_EQ(s.weights, WeightMeaning::kRough);
+  EXPECT_EQ(s.zones, (std::vector<std::string>{"east", "west"}));
+  EXPECT_EQ(s.ask_every, std::chrono::seconds(10));
+  EXPECT_EQ(s.most_open, 27264);
+  EXPECT_EQ(s.classes[0].objective_stretch, 1.5);
+  const Prices& p = s.prices;
+  EXPECT_EQ((std::vector<double>{p.waste, p.probe, p.cross_zone, p.late_fail, p.peer, p.far, p.move,
+                                 p.connection, p.handshake, p.list_line}),
+            (std::vector<double>{0.22, 0.5, 0.028, 0.08, 0.003, 0.04, 0.01, 0.02, 0.04, 1}));
+  EXPECT_EQ((std::vector<double>{s.goal.whole, s.goal.worst_window, s.goal.worst_class, s.goal.worst_tenant}),
+            (std::vector<double>{0.3, 0.4, 0.2, 0.1}));
+  told["loadInfo"]["source"] = "pull";
+  EXPECT_EQ(parse_settings(told).report_source, ReportSource::kInProbes);
+}
+
+TEST(Wire, WhatTheSettingsDoNotTellIsNotAllowedAndNotPriced) {
+  for (const Json& absent : {Json(), Json::object()}) {  // null, or without the keys; else missing
+    Json told = env();
+    if (absent.is_object()) told["prices"] = told["goal"] = told["loadInfo"] = told["clientHabits"] = absent;
+    told["weights"] = told["worthBy"] = told["dcs"] = nullptr;
+    const Settings s = parse_settings(told);
+    EXPECT_FALSE(s.may_probe || s.may_duplicate || s.peers || s.marks_retry || s.worth_by_work);
+    EXPECT_EQ(s.report_source, ReportSource::kNone);
+    EXPECT_EQ(s.weights, WeightMeaning::kNothing);
+    EXPECT_TRUE(s.report_fields.empty() && s.zones.empty());
+    EXPECT_EQ(s.prices.waste + s.prices.probe + s.prices.far + s.goal.whole + s.most_open, 0);
+  }
+}
+
+TEST(Wire, WordsThatOnlyInformMayBeNew) {
+  Json told = env();
+  told["weights"] = told["worthBy"] = "new";
+  told["loadInfo"] = {{"source", "new"}};
+  const Settings s = parse_settings(told);
+  EXPECT_EQ(s.weights, WeightMeaning::kNothing);
+  EXPECT_EQ(s.report_source, ReportSource::kNone);
+  EXPECT_FALSE(s.worth_by_work);
+}
+
 TEST(Wire, SettingsThatCannotWorkAreTheFaultAction) {
   Json bad = env();
   bad["limits"]["mostTries"] = 0;
