A pure check of settings finds what is out of bounds and what contradicts itself

Need: the module's constructor had a handful of bounds; settings that contradict themselves (two classes of one name, one attempt where two are needed, a number beyond the count) were taken. src/settings/check tells all at once, each with the field's path, what is wrong and what is wanted, and whether it is refused or only warned of.

Tests: 33 refusals and 29 warnings, each found alone in else sound settings; under each warning a request of each class goes through the module and gets its one answer. Nothing calls the check yet.

--- /dev/null
+++ b/tests/settings_check_test.cpp
@@ -0,0 +1,248 @@
+// The check of settings: each finding alone, what it refuses and what it lets pass with a warning.
+#include <functional>
+#include <limits>
+#include <ostream>
+
+#include "harness.hpp"
+#include "settings/check.hpp"
+
+namespace basaltvane::settings {
+
+bool operator==(const Finding& a, const Finding& b) { return a.severity == b.severity && a.field == b.field; }
+std::ostream& operator<<(std::ostream& out, const Finding& f) {
+  return out << (f.severity == Severity::kRefuse ? "refused: " : "warned of: ") << text(f);
+}
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::Harness;
+using testing::host;
+
+// As an operator has them who made no mistake.
+Settings sound() {
+  Settings s = testing::make_settings();
+  s.zones = {"east", "west"};
+  s.tenants = {{"one", 12.5}, {"two", 7.5}};
+  s.early_pairing = true;
+  s.may_duplicate = true;
+  s.report_source = ReportSource::kInAnswers;
+  s.report_fields = {LoadField::kMemoryShare};
+  s.connect_timeout = milliseconds(250);
+  s.idle_close = seconds(15);
+  s.prices.waste = 0.2;
+  s.goal = {0.3, 0.4, 0.2, 0.1};
+  return s;
+}
+
+struct Case {
+  const char* field;
+  std::function<void(Settings&)> change;
+};
+
+constexpr double kNoNumber = std::numeric_limits<double>::quiet_NaN();
+
+const std::vector<Case>& refused() {
+  static const std::vector<Case> cases = {
+      {"hostTypes", [](Settings& s) { s.kinds.clear(), s.early_pairing = false; }},
+      {"categories", [](Settings& s) { s.classes.clear(); }},
+      {"balancers", [](Settings& s) { s.router_count = 0; }},
+      {"myNumber", [](Settings& s) { s.router_number = -1; }},
+      {"myNumber", [](Settings& s) { s.router_number = s.router_count; }},
+      {"limits.mostTries", [](Settings& s) { s.max_attempts = 0; }},
+      {"granularityMs", [](Settings& s) { s.tick = milliseconds(-1); }},
+      {"familyInfo.pinLimitMs", [](Settings& s) { s.pin_limit = milliseconds(-1); }},
+      {"guarantees.answerSlackMs", [](Settings& s) { s.answer_slack = milliseconds(-1); }},
+      {"guarantees.askEveryMs", [](Settings& s) { s.ask_every = milliseconds(-1); }},
+      {"guarantees.coldMs", [](Settings& s) { s.cold_time = milliseconds(-1); }},
+      {"guarantees.drainGraceMs", [](Settings& s) { s.drain_grace = milliseconds(-1); }},
+      {"guarantees.tipAfterMs", [](Settings& s) { s.tip_window = milliseconds(-1); }},
+      {"limits.connectTimeoutMs", [](Settings& s) { s.connect_timeout = milliseconds(-1); }},
+      {"limits.idleCloseMs", [](Settings& s) { s.idle_close = milliseconds(-1); }},
+      {"limits.maxRetryAfterMs", [](Settings& s) { s.max_retry_in = milliseconds(-1); }},
+      {"guarantees.tipMultiple", [](Settings& s) { s.tip_multiple = -1; }},
+      {"guarantees.tipMultiple", [](Settings& s) { s.tip_multiple = kNoNumber; }},
+      {"guarantees.coldShare", [](Settings& s) { s.cold_share = -0.1; }},
+      {"guarantees.coldShare", [](Settings& s) { s.cold_share = 1.1; }},
+      {"tenants[1].quotaRps", [](Settings& s) { s.tenants[1].quota_rps = -1; }},
+      {"categories[1].objectiveMs", [](Settings& s) { s.classes[1].objective = {}; }},
+      {"categories[1].deadlineMs", [](Settings& s) { s.classes[1].deadline = {}; }},
+      {"categories[2].windowMs", [](Settings& s) { s.classes[2].window = seconds(-1); }},
+      {"familyInfo.aimUsPer1000PromptTokens[1]",
+       [](Settings& s) { s.classes[1].objective_per_1000_tokens = seconds(-1); }},
+      {"familyInfo.tokenAimMs[1]", [](Settings& s) { s.classes[1].token_objective = seconds(-1); }},
+      {"categories[0].aimStretch", [](Settings& s) { s.classes[0].objective_stretch = -1; }},
+      {"categories[3].name", [](Settings& s) { s.classes[3].name = "unsafe"; }},
+      {"hostTypes[2]", [](Settings& s) { s.kinds[2].name = "r"; }},
+      {"tenants[1].name", [](Settings& s) { s.tenants[1].name = "one"; }},
+      {"familyInfo.dutyByKind",  // nobody reads
+       [](Settings& s) {
+         s.kinds = {{"w", Role::kWriter, 1}}, s.early_pairing = false;
+       }},
+      {"familyInfo.dutyByKind",  // nobody writes
+       [](Settings& s) {
+         s.kinds = {{"r", Role::kReader, 1}}, s.early_pairing = false;
+       }},
+      {"limits.mostTries",
+       [](Settings& s) { s.kinds.pop_back(), s.max_attempts = 1, s.may_duplicate = false; }},
+  };
+  return cases;
+}
+
+const std::vector<Case>& warned() {
+  static const std::vector<Case> cases = {
+      {"overShareWorth", [](Settings& s) { s.over_share_worth = 1.5; }},
+      {"prices.waste", [](Settings& s) { s.prices.waste = -1; }},
+      {"familyInfo.moveFee", [](Settings& s) { s.prices.far = kNoNumber; }},
+      {"goal.worstWindow", [](Settings& s) { s.goal.worst_window = -1; }},
+      {"familyInfo.memoryTokens[0]", [](Settings& s) { s.kinds[0].memory_tokens = -1; }},
+      {"categories[0].worth", [](Settings& s) { s.classes[0].worth = -1; }},
+      {"categories[0].lateValue", [](Settings& s) { s.classes[0].late_value = 1.5; }},
+      {"familyInfo.writersRead",
+       [](Settings& s) {
+         s.kinds = {{"r", Role::kReader, 1}, {"m", Role::kMixed, 1}};
+         s.writers_read = true;
+       }},
+      {"familyInfo.earlyPairing",
+       [](Settings& s) {
+         s.kinds = {{"m", Role::kMixed, 1}};
+       }},
+      {"limits.mayDuplicate", [](Settings& s) { s.max_attempts = 1; }},
+      {"familyInfo.resume",
+       [](Settings& s) {
+         for (RequestClass& c : s.classes) c.repeat = Repeat::kUnsafe;
+       }},
+      {"categories[2].windowMs", [](Settings& s) { s.classes[2].window = {}; }},
+      {"categories[1].deadlineMs", [](Settings& s) { s.classes[1].deadline = seconds(2); }},
+      {"categories[1].deadlineMs",
+       [](Settings& s) {
+         s.classes[1].objective = s.classes[1].deadline = seconds(2);
+         s.tick = s.answer_slack = s.drain_grace = seconds(1);
+         s.pin_limit = milliseconds(1001);
+       }},
+      {"guarantees.answerSlackMs", [](Settings& s) { s.answer_slack = seconds(6); }},
+      {"guarantees.answerSlackMs", [](Settings& s) { s.answer_slack = milliseconds(3); }},
+      {"familyInfo.pinLimitMs", [](Settings& s) { s.pin_limit = seconds(7); }},
+      {"familyInfo.pinLimitMs", [](Settings& s) { s.pin_limit = s.tick; }},
+      {"guarantees.drainGraceMs", [](Settings& s) { s.drain_grace = milliseconds(3); }},
+      {"guarantees.tipMultiple", [](Settings& s) { s.tip_multiple = 0; }},
+      {"guarantees.tipMultiple", [](Settings& s) { s.tip_multiple = 0.9; }},
+      {"guarantees.coldShare", [](Settings& s) { s.cold_share = 0; }},
+      {"guarantees.tipAfterMs", [](Settings& s) { s.tip_window = {}; }},
+      {"guarantees.tipAfterMs", [](Settings& s) { s.tip_window = milliseconds(50); }},
+      {"loadInfo.source", [](Settings& s) { s.report_source = ReportSource::kInProbes; }},
+      {"loadInfo.fields", [](Settings& s) { s.report_fields.clear(); }},
+      {"myZone", [](Settings& s) { s.zone = "north"; }},
+      {"tenants", [](Settings& s) { s.tenants[0].quota_rps = s.tenants[1].quota_rps = 0; }},
+      {"limits.maxRetryAfterMs", [](Settings& s) { s.max_retry_in = {}; }},
+  };
+  return cases;
+}
+
+TEST(Check, FindsNothingInSoundSettings) {
+  EXPECT_EQ(check(sound()), std::vector<Finding>{});
+  EXPECT_EQ(check_sockets(sound()), std::vector<Finding>{});
+}
+
+// None of these contradicts itself, though each looks as if it lacked its other half.
+TEST(Check, LetsWhatIsOnlyUnusualPass) {
+  const std::vector<std::function<void(Settings&)>> changes = {
+      [](Settings& s) { s.prices.probe = 0.5; },  // priced, not allowed
+      [](Settings& s) { s.may_probe = true, s.report_source = ReportSource::kNone, s.report_fields = {}; },
+      [](Settings& s) { s.may_probe = true, s.report_source = ReportSource::kInProbes; },
+      [](Settings& s) { s.peers = true, s.router_count = 1; },
+      [](Settings& s) {
+        s.kinds = {{"m", Role::kMixed, 0}}, s.early_pairing = false, s.max_attempts = 1,
+        s.may_duplicate = false;
+      },
+      [](Settings& s) {
+        s.kinds = {{"w", Role::kWriter, 0}}, s.writers_read = true, s.early_pairing = false;
+      },
+      [](Settings& s) { s.tenants.clear(), s.over_share_worth = 1; },
+      [](Settings& s) { s.tenants[0].quota_rps = 0; },
+      [](Settings& s) { s.cold_time = {}, s.tip_multiple = 0; },
+      [](Settings& s) { s.tip_multiple = 1e9, s.cold_share = 1; },
+      [](Settings& s) { s.zones.clear(), s.zone = ""; },
+      [](Settings& s) { s.goal = {}, s.prices = {}; },
+      [](Settings& s) { s.retry_advice = false, s.max_retry_in = {}; },
+      [](Settings& s) { s.tick = s.answer_slack = s.drain_grace = {}; },
+      [](Settings& s) { s.connect_timeout = s.idle_close = {}; },  // a host of the module without sockets
+  };
+  for (std::size_t i = 0; i < changes.size(); ++i) {
+    Settings s = sound();
+    changes[i](s);
+    EXPECT_EQ(check(s), std::vector<Finding>{}) << "change " << i;
+  }
+}
+
+TEST(Check, RefusesWhatMeansNothingContradictsItselfOrServesNobody) {
+  for (const Case& c : refused()) {
+    Settings s = sound();
+    c.change(s);
+    EXPECT_EQ(check(s), (std::vector<Finding>{{Severity::kRefuse, c.field, "", ""}}));
+  }
+}
+
+// Each is served by: a request gets its one answer, in time, and nothing is left behind.
+TEST(Check, WarnsOfWhatIsAbsurdAndServesByItAllTheSame) {
+  for (const Case& c : warned()) {
+    Settings s = sound();
+    c.change(s);
+    EXPECT_EQ(check(s), (std::vector<Finding>{{Severity::kWarn, c.field, "", ""}}));
+    Harness h(s);
+    std::vector<HostEntry> hosts;
+    for (const HostKind& kind : s.kinds) hosts.push_back(host(kind.name + "1", kind.name));
+    h.list(hosts);
+    for (const RequestClass& k : s.classes) {
+      Request r = h.make(k.name, k.name);
+      r.client_deadline = h.now + k.deadline;
+      h.pass(r);
+      if (h.out[k.name] == "r1") h.end(k.name, Verdict::kRead);
+      if (!h.out[k.name].empty()) h.first(k.name), h.end(k.name, Verdict::kServed);
+      h.run(k.deadline);
+      EXPECT_TRUE(h.ended[k.name]) << c.field << ", class " << k.name;
+    }
+    EXPECT_EQ(h.router.table_sizes().requests, 0U) << c.field;
+  }
+}
+
+TEST(Check, TellsAllThatIsWrongAtOnce) {
+  Settings s = sound();
+  s.router_number = 7;
+  s.classes[1].name = "safe";
+  s.tip_multiple = 0;
+  s.max_attempts = 0;
+  EXPECT_EQ(check(s).size(), 4U);
+}
+
+TEST(Check, OnSocketsConnectionsMustBeMadeAndKept) {
+  const auto found = [](auto change) {
+    Settings s = sound();
+    change(s);
+    return check_sockets(s);
+  };
+  using All = std::vector<Finding>;
+  EXPECT_EQ(found([](Settings& s) { s.connect_timeout = {}; }),
+            (All{{Severity::kRefuse, "limits.connectTimeoutMs", "", ""}}));
+  EXPECT_EQ(found([](Settings& s) { s.idle_close = {}; }),
+            (All{{Severity::kRefuse, "limits.idleCloseMs", "", ""}}));
+  EXPECT_EQ(found([](Settings& s) { s.connect_timeout = milliseconds(1001); }),
+            (All{{Severity::kWarn, "limits.connectTimeoutMs", "", ""}}));
+}
+
+// Of the budget only what the whole fleet could bring is known: two requests of ten a second would not do.
+TEST(Check, ABudgetUnderOneRequestIsSeenByTheQuotas) {
+  Settings s = sound();
+  s.tip_multiple = 2;
+  s.cold_share = 0.5;
+  s.tip_window = milliseconds(100);
+  s.tenants = {{"one", 9.9}};
+  ASSERT_EQ(check(s).size(), 1U);
+  EXPECT_EQ(check(s)[0].wanted, "at least 101.01 ms");
+  s.tenants[0].quota_rps = 10;
+  EXPECT_EQ(check(s), std::vector<Finding>{});
+}
+
+}  // namespace
+}  // namespace basaltvane::settings
