--- a/src/router.cpp
+++ b/src/router.cpp
@@ -8,9 +8,10 @@
 #include <list>
 #include <map>
 #include <set>
-#include <stdexcept>
 #include <utility>
 
+#include "settings/check.hpp"
+
 namespace basaltvane {
 namespace {
 
@@ -188,26 +189,13 @@
   }
 };
 
-void require(bool ok, const char* what) {
-  if (!ok) throw std::invalid_argument(std::string("basaltvane: bad setting: ") + what);
-}
-
 }  // namespace
 
 class Router::Impl {
  public:
   Impl(const Settings& settings, std::uint64_t seed)
       : s_(std::make_shared<const Settings>(settings)), seed_(seed) {
-    require(!s_->kinds.empty() && !s_->classes.empty(), "kinds, classes: none given");
-    require(s_->router_count >= 1 && s_->router_number >= 0, "router_count, router_number: too small");
-    require(s_->max_attempts >= 1, "max_attempts: at least 1 wanted");
-    const auto least = std::min({s_->pin_limit, s_->drain_grace, s_->tip_window, s_->cold_time});
-    require(least.count() >= 0, "pin_limit, drain_grace, tip_window, cold_time: negative");
-    require(s_->tip_multiple >= 0 && s_->cold_share >= 0, "tip_multiple, cold_share: negative");
-    for (const RequestClass& c : s_->classes)
-      require(c.objective.count() > 0 && c.deadline.count() > 0 && c.window.count() >= 0,
-              "classes: objective, deadline: above 0 wanted; window: not below");
-    for (const Tenant& t : s_->tenants) require(t.quota_rps >= 0, "tenants: quota negative");
+    settings::require(*s_);
   }
 
   std::vector<Action> handle(Time now, const Event& event) {
--- a/tests/dispatcher/parsers_test.cpp
+++ b/tests/dispatcher/parsers_test.cpp
@@ -240,7 +240,7 @@
       nlohmann::json::parse(R"({"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2",
     "seed":"8c1f","limits":{"sockets":512,"memory_mb":192},"settings":{"myNumber":0,"balancers":2,"myZone":"here",
     "categories":[{"name":"ask","repeat":"safe","objectiveMs":1200,"deadlineMs":6000,"worth":1}],
-    "hostTypes":["reader"],"familyInfo":{"dutyByKind":["read"],"pinLimitMs":300},"registryMode":"push",
+    "hostTypes":["reader","writer"],"familyInfo":{"dutyByKind":["read","write"],"pinLimitMs":300},"registryMode":"push",
     "limits":{"mostTries":4,"connectTimeoutMs":250,"idleCloseMs":15000},"granularityMs":4,
     "guarantees":{"answerSlackMs":16,"drainGraceMs":250,"coldShare":0.3,"coldMs":14000,"tipMultiple":4,"tipAfterMs":2000}}})");
   const auto config = app::parse_config(good.dump(), {{"PROXY_NAME", "n7"}});
@@ -265,7 +265,7 @@
   CHECK(problem("/settings/limits/idleCloseMs", 0) == "settings: field 'idleCloseMs': above 0 expected");
   CHECK(problem("/settings/limits/connectTimeoutMs", "x") ==
         "settings: field 'connectTimeoutMs': number expected");
-  CHECK(problem("/settings/limits/mostTries", 0).find("max_attempts") != std::string::npos);
+  CHECK(problem("/settings/limits/mostTries", 0).find("limits.mostTries") != std::string::npos);
   CHECK(problem("/known", 5) == "known: an object expected");
   CHECK_THROWS_AS(app::parse_config("{", {}), app::ConfigError);
 }
--- a/tests/settings_check_test.cpp
+++ b/tests/settings_check_test.cpp
@@ -181,6 +181,12 @@
     Settings s = sound();
     c.change(s);
     EXPECT_EQ(check(s), (std::vector<Finding>{{Severity::kRefuse, c.field, "", ""}}));
+    try {
+      Router(s, 1);
+      ADD_FAILURE() << c.field << " was taken";
+    } catch (const std::invalid_argument& e) {
+      EXPECT_NE(std::string(e.what()).find(c.field), std::string::npos) << e.what();
+    }
   }
 }
 
@@ -214,6 +220,16 @@
   s.tip_multiple = 0;
   s.max_attempts = 0;
   EXPECT_EQ(check(s).size(), 4U);
+  try {
+    Router(s, 1);
+    ADD_FAILURE();
+  } catch (const std::invalid_argument& e) {
+    EXPECT_STREQ(
+        e.what(),
+        "basaltvane: bad settings: field 'myNumber': 7 among 2 dispatchers; wanted: 0 to 1; field "
+        "'limits.mostTries': 0; wanted: at least 1; field 'categories[1].name': 'safe' a second time; "
+        "wanted: another name");
+  }
 }
 
 TEST(Check, OnSocketsConnectionsMustBeMadeAndKept) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -195,7 +195,7 @@
   const std::string reply =
       play(s, {turn(1), Json{{"boot", {{"dispatcher", "d"}, {"seed", 1}, {"env", bad}}}}.dump(), kFlush});
   EXPECT_NE(reply.find("exception"), std::string::npos);
-  EXPECT_NE(reply.find("max_attempts"), std::string::npos);
+  EXPECT_NE(reply.find("limits.mostTries"), std::string::npos);
 }
 
 TEST(Wire, InstancesShareNothing) {
