check-config and SIGHUP tell all that is wrong with settings, by file, line and field

Need: the parser stopped at the first field that was wrong and named it without its place; settings that contradict themselves were not looked at; a reload logged one line. Now the parser gathers what is missing, of the wrong type or an unknown word; the check's findings follow; src/settings/positions finds each field's line by a SAX pass (nlohmann's values keep none), and report words them. check-config prints all; a start and a reload are turned down by what is refused, with the same lines logged, and go on with what is only warned of.

--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -1,55 +1,37 @@
 #include "wire.hpp"
 
-#include <algorithm>
-#include <cmath>
-#include <limits>
 #include <type_traits>
 
+#include "fields.hpp"
+
 namespace basaltvane::wire {
 namespace {
 
-template <class T>
-T convert(const Json& value, const std::string& key) {
-  if constexpr (std::is_same_v<T, std::string>) {
-    if (!value.is_string()) throw WireError("field '" + key + "': text expected");
-  } else if constexpr (std::is_same_v<T, bool>) {
-    if (!value.is_boolean()) throw WireError("field '" + key + "': true or false expected");
-  } else if constexpr (std::is_same_v<T, std::uint64_t>) {
-    if (!value.is_number_unsigned()) throw WireError("field '" + key + "': whole number expected");
-  } else {
-    if (!value.is_number()) throw WireError("field '" + key + "': number expected");
-    if constexpr (std::is_same_v<T, int>) {
-      const double number = value.get<double>();
-      if (!(std::abs(number) <= std::numeric_limits<int>::max())) {
-        throw WireError("field '" + key + "': number out of range");
-      }
-      return static_cast<int>(std::llround(number));
-    }
-  }
-  return value.get<T>();
+[[noreturn]] void misfit(const std::string& key, const char* wanted) {
+  throw WireError("field '" + key + "': " + wanted + " expected");
 }
-
 template <class T>
-T need(const Json& object, const std::string& key) {
-  const auto it = object.find(key);
-  if (it == object.end() || it->is_null()) throw WireError("field '" + key + "' is missing");
-  return convert<T>(*it, key);
+T opt(const Json& object, const std::string& key, T absent = {}) {
+  const Json* value = find(object, key);
+  if (value == nullptr) return absent;
+  if (!fits<T>(*value)) misfit(key, expected<T>());
+  return convert<T>(*value);
 }
-
 template <class T>
-T opt(const Json& object, const std::string& key, T absent = {}) {
-  const auto it = object.find(key);
-  return it == object.end() || it->is_null() ? absent : convert<T>(*it, key);
+T need(const Json& object, const std::string& key) {
+  if (find(object, key) == nullptr) throw WireError("field '" + key + "' is missing");
+  return opt<T>(object, key);
 }
-
-Duration from_ms(double ms, const std::string& key) {
-  if (!(std::abs(ms) < 1e15)) throw WireError("field '" + key + "': time out of range");
-  return Duration(std::llround(ms * 1000.0));
+Duration opt_ms(const Json& object, const std::string& key) {
+  const Json* value = find(object, key);
+  if (value == nullptr) return {};
+  if (!fits_ms(*value)) misfit(key, "number of milliseconds");
+  return from_ms(value->get<double>());
 }
 Duration need_ms(const Json& object, const std::string& key) {
-  return from_ms(need<double>(object, key), key);
+  if (find(object, key) == nullptr) throw WireError("field '" + key + "' is missing");
+  return opt_ms(object, key);
 }
-Duration opt_ms(const Json& object, const std::string& key) { return from_ms(opt<double>(object, key), key); }
 double to_ms(Duration value) { return static_cast<double>(value.count()) / 1000.0; }
 
 const Json& need_member(const Json& object, const std::string& key, Json::value_t type) {
@@ -74,17 +56,6 @@
   throw WireError("field '" + key + "': unknown word '" + value + "'");
 }
 
-// The same for a word that only informs: one that is not known here may be new.
-template <class E>
-E known_word(const Json& object, const std::string& key, E absent,
-             std::initializer_list<std::pair<const char*, E>> words) {
-  const auto value = opt<std::string>(object, key);
-  for (const auto& [name, code] : words) {
-    if (value == name) return code;
-  }
-  return absent;
-}
-
 Verdict parse_verdict(const std::string& value) {
   return word<Verdict>(value, "verdict",
                        {{"S", Verdict::kServed},
@@ -99,9 +70,8 @@
 }
 
 std::optional<double> opt_number(const Json& object, const std::string& key) {
-  const auto it = object.find(key);
-  if (it == object.end() || it->is_null()) return std::nullopt;
-  return convert<double>(*it, key);
+  if (find(object, key) == nullptr) return std::nullopt;
+  return opt<double>(object, key);
 }
 
 LoadReport parse_report(const Json& fields) {
@@ -111,13 +81,6 @@
   return parse_load(*it);
 }
 
-// JSON array element i as a number, 0 where the array is shorter.
-double element(const Json& object, const std::string& key, std::size_t i) {
-  const auto it = object.find(key);
-  if (it == object.end() || !it->is_array() || i >= it->size()) return 0.0;
-  return convert<double>((*it)[i], key);
-}
-
 }  // namespace
 
 LoadReport parse_load(const Json& fields) {
@@ -128,144 +91,6 @@
   return report;
 }
 
-namespace {
-
-// An object that may be missing; then all that stands in it is absent.
-const Json& opt_object(const Json& object, const std::string& key) {
-  static const Json none = Json::object();
-  const auto it = object.find(key);
-  if (it == object.end() || it->is_null()) return none;
-  if (!it->is_object()) throw WireError("field '" + key + "' has the wrong type");
-  return *it;
-}
-
-std::vector<std::string> opt_words(const Json& object, const std::string& key) {
-  std::vector<std::string> words;
-  const auto it = object.find(key);
-  if (it == object.end() || it->is_null()) return words;
-  if (!it->is_array()) throw WireError("field '" + key + "' has the wrong type");
-  for (const Json& name : *it) words.push_back(convert<std::string>(name, key));
-  return words;
-}
-
-// Names that are not known here may be new: they are passed over.
-std::vector<LoadField> parse_load_fields(const Json& info) {
-  static const std::pair<const char*, LoadField> names[] = {
-      {"rif", LoadField::kInHand},     {"q", LoadField::kQueued},
-      {"busy", LoadField::kBusy},      {"lat_ms", LoadField::kLatency},
-      {"rate", LoadField::kRate},      {"fail_rate", LoadField::kFailRate},
-      {"x0", LoadField::kMemoryShare}, {"x1", LoadField::kPromptKilotokens}};
-  std::vector<LoadField> fields;
-  for (const std::string& given : opt_words(info, "fields")) {
-    for (const auto& [name, field] : names)
-      if (given == name) fields.push_back(field);
-  }
-  return fields;
-}
-
-Prices parse_prices(const Json& prices, const Json& info) {
-  Prices p;
-  p.waste = opt<double>(prices, "waste");
-  p.probe = opt<double>(prices, "probe");
-  p.cross_zone = opt<double>(prices, "crossZone");
-  p.late_fail = opt<double>(prices, "lateFail");
-  p.peer = opt<double>(prices, "peer");
-  p.far = opt<double>(info, "moveFee");
-  p.move = opt<double>(prices, "moves");
-  p.connection = opt<double>(prices, "connection");
-  p.handshake = opt<double>(prices, "handshake");
-  p.list_line = opt<double>(prices, "registryMode");
-  return p;
-}
-
-}  // namespace
-
-Settings parse_settings(const Json& env) {
-  Settings s;
-  const Json& info = need_object(env, "familyInfo");
-  const Json& limits = need_object(env, "limits");
-  const Json& rules = need_object(env, "guarantees");
-  s.router_number = need<int>(env, "myNumber");
-  s.router_count = need<int>(env, "balancers");
-  s.zone = opt<std::string>(env, "myZone");
-  s.zones = opt_words(env, "dcs");
-  std::size_t i = 0;
-  for (const Json& c : need_array(env, "categories")) {
-    RequestClass k;
-    k.name = need<std::string>(c, "name");
-    k.repeat =
-        word<Repeat>(need<std::string>(c, "repeat"), "repeat",
-                     {{"safe", Repeat::kSafe}, {"keyed", Repeat::kKeyed}, {"unsafe", Repeat::kUnsafe}});
-    k.group = word<Group>(opt<std::string>(c, "group", "all"), "group",
-                          {{"all", Group::kAll}, {"zone", Group::kZone}, {"cell", Group::kCell}});
-    k.window = opt_ms(c, "windowMs");
-    k.objective = need_ms(c, "objectiveMs");
-    k.deadline = need_ms(c, "deadlineMs");
-    k.worth = need<double>(c, "worth");
-    k.late_value = opt<double>(c, "lateValue");
-    k.objective_stretch = opt<double>(c, "aimStretch");
-    k.objective_per_1000_tokens = Duration(std::llround(element(info, "aimUsPer1000PromptTokens", i)));
-    k.token_objective = from_ms(element(info, "tokenAimMs", i), "tokenAimMs");
-    s.classes.push_back(k);
-    ++i;
-  }
-  const auto tenants = env.find("tenants");
-  if (tenants != env.end() && tenants->is_array()) {
-    for (const Json& t : *tenants)
-      s.tenants.push_back({need<std::string>(t, "name"), opt<double>(t, "quotaRps")});
-  }
-  const Json& duties = need_array(info, "dutyByKind");
-  i = 0;
-  for (const Json& name : need_array(env, "hostTypes")) {
-    if (i >= duties.size()) throw WireError("field 'dutyByKind' is shorter than 'hostTypes'");
-    const Role role = word<Role>(convert<std::string>(duties[i], "dutyByKind"), "dutyByKind",
-                                 {{"read", Role::kReader}, {"write", Role::kWriter}, {"both", Role::kMixed}});
-    s.kinds.push_back({convert<std::string>(name, "hostTypes"), role, element(info, "memoryTokens", i)});
-    ++i;
-  }
-  s.list_by_asking =
-      word<bool>(need<std::string>(env, "registryMode"), "registryMode", {{"push", false}, {"ask", true}});
-  s.ask_every = opt_ms(rules, "askEveryMs");
-  s.weights = known_word(env, "weights", WeightMeaning::kNothing,
-                         {{"nominal", WeightMeaning::kNominal},
-                          {"rough", WeightMeaning::kRough},
-                          {"live", WeightMeaning::kLive}});
-  const Json& reports = opt_object(env, "loadInfo");
-  s.report_source = known_word(reports, "source", ReportSource::kNone,
-                               {{"piggyback", ReportSource::kInAnswers}, {"pull", ReportSource::kInProbes}});
-  s.report_fields = parse_load_fields(reports);
-  s.writers_read = opt<bool>(info, "writersRead");
-  s.early_pairing = opt<bool>(info, "earlyPairing");
-  s.resume = opt<bool>(info, "resume");
-  s.pin_limit = need_ms(info, "pinLimitMs");
-  s.connect_timeout = opt_ms(limits, "connectTimeoutMs");
-  s.idle_close = opt_ms(limits, "idleCloseMs");
-  s.may_cancel = opt<bool>(limits, "mayCancel");
-  s.may_probe = opt<bool>(limits, "mayProbe");
-  s.may_duplicate = opt<bool>(limits, "mayDuplicate");
-  s.peers = opt<bool>(limits, "peers");
-  s.marks_retry = opt<bool>(opt_object(env, "clientHabits"), "marksRetry");
-  s.retry_advice = opt<bool>(limits, "retryAfter");
-  s.max_retry_in = opt_ms(limits, "maxRetryAfterMs");
-  s.max_attempts = need<int>(limits, "mostTries");
-  s.most_open = static_cast<int>(
-      std::clamp<double>(opt<double>(limits, "openCap"), 0, std::numeric_limits<int>::max()));
-  s.worth_by_work = known_word(env, "worthBy", false, {{"work", true}});
-  s.over_share_worth = opt<double>(env, "overShareWorth", 1.0);
-  s.prices = parse_prices(opt_object(env, "prices"), info);
-  const Json& goal = opt_object(env, "goal");
-  s.goal = {opt<double>(goal, "whole"), opt<double>(goal, "worstWindow"), opt<double>(goal, "worstClass"),
-            opt<double>(goal, "worstTenant")};
-  s.tick = need_ms(env, "granularityMs");
-  s.answer_slack = need_ms(rules, "answerSlackMs");
-  s.drain_grace = need_ms(rules, "drainGraceMs");
-  s.cold_share = need<double>(rules, "coldShare");
-  s.cold_time = need_ms(rules, "coldMs");
-  s.tip_multiple = need<double>(rules, "tipMultiple");
-  s.tip_window = need_ms(rules, "tipAfterMs");
-  return s;
-}
-
 HostList parse_list(const Json& topology, const Json& page) {
   HostList list;
   switch (need<int>(topology, "how")) {
--- a/adapter/wire.hpp
+++ b/adapter/wire.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "basaltvane/router.hpp"
+#include "settings/check.hpp"
 
 namespace basaltvane::wire {
 
@@ -21,9 +22,17 @@
   using std::runtime_error::runtime_error;
 };
 
-Settings parse_settings(const Json& env);                     // throws WireError
-LoadReport parse_load(const Json& fields);                    // throws WireError
-HostList parse_list(const Json& topology, const Json& page);  // throws WireError
+// Settings that can't be read, with all that is wrong of them.
+struct SettingsError : WireError {
+  explicit SettingsError(std::vector<settings::Finding> all);
+  std::vector<settings::Finding> findings;
+};
+
+// What is odd of settings that can be read goes to `warnings`.
+Settings parse_settings(const Json& env,
+                        std::vector<settings::Finding>* warnings = nullptr);  // throws SettingsError
+LoadReport parse_load(const Json& fields);                                    // throws WireError
+HostList parse_list(const Json& topology, const Json& page);                  // throws WireError
 std::optional<Event> parse_event(const std::string& name,
                                  const Json& fields);  // empty: a name not known here
 std::string format_action(const std::string& dispatcher, const Action& action);
--- a/src/app/config.cpp
+++ b/src/app/config.cpp
@@ -1,18 +1,24 @@
 #include "app/config.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <fstream>
 #include <iterator>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <utility>
 
+#include "settings/report.hpp"
 #include "wire.hpp"
 
 namespace bitternferry::app {
 
 using Json = nlohmann::json;
 
+using basaltvane::settings::Finding;
+using basaltvane::settings::Severity;
+
 namespace {
 
 const Json* member(const Json& object, const char* field) {
@@ -20,49 +26,134 @@
   return it == object.end() || it->is_null() ? nullptr : &*it;
 }
 
-std::string text(const Json& object, const char* field, const Environment& environment,
-                 const char* variable) {
-  if (const auto it = environment.find(variable); it != environment.end()) return it->second;
-  const Json* value = member(object, field);
-  if (value == nullptr) return {};
-  if (!value->is_string()) throw ConfigError(std::string("field '") + field + "': text expected");
-  return value->get<std::string>();
+// The file's top level. What is wrong is gathered.
+class Top {
+ public:
+  Top(const Json& object, const Environment& environment, std::vector<Finding>& findings)
+      : object_(object), environment_(environment), findings_(findings) {}
+
+  void wrong(std::string field, std::string what, std::string wanted) const {
+    findings_.push_back({Severity::kRefuse, std::move(field), std::move(what), std::move(wanted)});
+  }
+  std::string text(const char* field, const char* variable) const {
+    if (const auto it = environment_.find(variable); it != environment_.end()) return it->second;
+    const Json* value = member(object_, field);
+    if (value == nullptr) return {};
+    if (value->is_string()) return value->get<std::string>();
+    wrong(field, "no text", "text");
+    return {};
+  }
+  net::tcp::endpoint endpoint(const char* field, const char* variable) const {
+    const std::size_t before = findings_.size();
+    const std::string value = text(field, variable);
+    if (const auto result = net::parse_endpoint(value)) return *result;
+    const std::string from = environment_.contains(variable) ? std::string(" (") + variable + ")" : "";
+    if (findings_.size() == before) wrong(field, "'" + value + "'" + from, "address and port");
+    return {};
+  }
+  // Hexadecimal text, or a number.
+  std::uint64_t seed() const {
+    const Json* value = member(object_, "seed");
+    if (value == nullptr) return 0;
+    if (value->is_number_unsigned()) return value->get<std::uint64_t>();
+    std::uint64_t seed = 0;
+    const std::string digits = value->is_string() ? value->get<std::string>() : "";
+    const char* const end = digits.data() + digits.size();
+    const auto [last, error] = std::from_chars(digits.data(), end, seed, 16);
+    if (error != std::errc() || last != end) wrong("seed", "no number", "hexadecimal text");
+    return seed;
+  }
+  // The object of this name; none where it is missing or no object.
+  const Json* object(const char* field, bool needed) const {
+    const Json* value = member(object_, field);
+    if (value != nullptr && value->is_object()) return value;
+    if (value != nullptr || needed) wrong(field, value == nullptr ? "missing" : "no object", "object");
+    return nullptr;
+  }
+  std::size_t limit(const Json& limits, const char* field, std::size_t absent) const {
+    const Json* value = member(limits, field);
+    if (value == nullptr) return absent;
+    if (value->is_number() && value->get<double>() >= 1 && value->get<double>() <= 1e9)
+      return static_cast<std::size_t>(value->get<double>());
+    wrong(std::string("limits.") + field, value->dump(), "number above 0");
+    return absent;
+  }
+
+ private:
+  const Json& object_;
+  const Environment& environment_;
+  std::vector<Finding>& findings_;
+};
+
+// A request may knock at dead readers for so many sends, not for ever.
+constexpr int kConnectsPerAttempt = 4;
+
+void add_all(std::vector<Finding>& findings, std::vector<Finding> more) {
+  for (Finding& f : more) {
+    f.field = "settings." + f.field;
+    findings.push_back(std::move(f));
+  }
 }
 
-net::tcp::endpoint endpoint(const std::string& value, const char* field) {
-  const auto result = net::parse_endpoint(value);
-  if (!result)
-    throw ConfigError(std::string("field '") + field + "': address and port expected, not '" + value + "'");
-  return *result;
+basaltvane::Settings read_settings(const Json& source, std::vector<Finding>& findings) {
+  try {
+    std::vector<Finding> odd;
+    basaltvane::Settings settings = basaltvane::wire::parse_settings(source, &odd);
+    // On sockets an attempt counts once its last byte has come.
+    settings.free_connects = kConnectsPerAttempt * settings.max_attempts;
+    add_all(findings, std::move(odd));
+    add_all(findings, basaltvane::settings::check(settings));
+    add_all(findings, basaltvane::settings::check_sockets(settings));
+    return settings;
+  } catch (const basaltvane::wire::SettingsError& e) {
+    add_all(findings, e.findings);
+    return {};
+  }
 }
 
-// Hexadecimal text, or a number.
-std::uint64_t parse_seed(const Json& object) {
-  const Json* value = member(object, "seed");
-  if (value == nullptr) return 0;
-  if (value->is_number_unsigned()) return value->get<std::uint64_t>();
-  if (!value->is_string()) throw ConfigError("field 'seed': hexadecimal text expected");
-  const auto& digits = value->get_ref<const std::string&>();
-  std::uint64_t seed = 0;
-  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), seed, 16);
-  if (error != std::errc() || end != digits.data() + digits.size())
-    throw ConfigError("field 'seed': hexadecimal text expected");
-  return seed;
+discovery::Servers read_known(const Json& source, std::vector<Finding>& findings) {
+  discovery::Servers known;
+  try {
+    known = discovery::parse_servers(source);
+    known.whole = true;
+    known.list.kind = basaltvane::ListKind::kCached;
+  } catch (const std::exception& e) {
+    findings.push_back({Severity::kRefuse, "known", e.what(), ""});
+  }
+  return known;
 }
 
-std::size_t limit(const Json& limits, const char* field, std::size_t absent) {
-  const Json* value = member(limits, field);
-  if (value == nullptr) return absent;
-  if (!value->is_number() || value->get<double>() < 1 || value->get<double>() > 1e9)
-    throw ConfigError(std::string("field 'limits.") + field + "': number above 0 expected");
-  return static_cast<std::size_t>(value->get<double>());
+Json parse_json(const std::string& file, const std::string& source) {
+  try {
+    Json object = Json::parse(source);
+    if (object.is_object()) return object;
+  } catch (const Json::parse_error& e) {
+    const auto upto = source.begin() + static_cast<std::ptrdiff_t>(std::min(e.byte, source.size()));
+    throw ConfigError(file + ":" + std::to_string(1 + std::count(source.begin(), upto, '\n')) +
+                      ": the configuration is not JSON");
+  } catch (const Json::exception& e) {
+    throw ConfigError(file + ": the configuration can't be read: " + e.what());
+  }
+  throw ConfigError(file + ":1: the configuration is not a JSON object");
 }
 
-// A request may knock at dead readers for so many sends, not for ever.
-constexpr int kConnectsPerAttempt = 4;
+std::string joined(const std::vector<std::string>& lines) {
+  std::string all;
+  for (const std::string& line : lines) all += (all.empty() ? "" : "\n") + line;
+  return all;
+}
 
 }  // namespace
 
+ConfigError::ConfigError(const std::vector<std::string>& all) : std::runtime_error(joined(all)) {}
+
+std::vector<std::string> ConfigError::lines() const {
+  std::vector<std::string> all;
+  std::istringstream text(what());
+  for (std::string line; std::getline(text, line);) all.push_back(line);
+  return all;
+}
+
 Environment read_environment() {
   Environment environment;
   for (const char* name :
@@ -80,46 +171,33 @@
 }
 
 Config parse_config(const std::string& source, const Environment& environment) {
-  const Json object = Json::parse(source, nullptr, false);
-  if (!object.is_object()) throw ConfigError("the configuration is not a JSON object");
+  const auto named = environment.find("PROXY_CONFIG");
+  const std::string file = named == environment.end() ? "configuration" : named->second;
+  const Json object = parse_json(file, source);
+  std::vector<Finding> findings;
+  const Top top(object, environment, findings);
   Config config;
-  config.name = text(object, "name", environment, "PROXY_NAME");
-  config.listen = endpoint(text(object, "listen", environment, "PROXY_LISTEN"), "listen");
-  config.discovery = endpoint(text(object, "discovery", environment, "PROXY_DISCOVERY"), "discovery");
-  const std::string console = text(object, "console", environment, "PROXY_CONSOLE");
-  if (!console.empty()) config.console = endpoint(console, "console");
+  config.name = top.text("name", "PROXY_NAME");
+  config.listen = top.endpoint("listen", "PROXY_LISTEN");
+  config.discovery = top.endpoint("discovery", "PROXY_DISCOVERY");
+  if (!top.text("console", "PROXY_CONSOLE").empty())
+    config.console = top.endpoint("console", "PROXY_CONSOLE");
   if (const auto it = environment.find("TMPDIR"); it != environment.end()) config.scratch = it->second;
-  config.seed = parse_seed(object);
-  if (const Json* limits = member(object, "limits")) {
-    if (!limits->is_object()) throw ConfigError("field 'limits': object expected");
-    config.sockets = limit(*limits, "sockets", config.sockets);
-    config.memory_mb = limit(*limits, "memory_mb", config.memory_mb);
+  config.seed = top.seed();
+  if (const Json* limits = top.object("limits", false)) {
+    config.sockets = top.limit(*limits, "sockets", config.sockets);
+    config.memory_mb = top.limit(*limits, "memory_mb", config.memory_mb);
   }
-  const Json* settings = member(object, "settings");
-  if (settings == nullptr || !settings->is_object()) throw ConfigError("field 'settings': object expected");
   config.source = object;
   if (member(object, "known") != nullptr) config.source["known"] = Json::object();
-  try {
-    config.settings = basaltvane::wire::parse_settings(*settings);
-    // On sockets an attempt counts once its last byte has come.
-    config.settings.free_connects = kConnectsPerAttempt * config.settings.max_attempts;
-    basaltvane::Router(config.settings, 0);  // its own checks
-  } catch (const std::exception& e) {
-    throw ConfigError(std::string("settings: ") + e.what());
-  }
-  if (config.settings.connect_timeout.count() <= 0)
-    throw ConfigError("settings: field 'connectTimeoutMs': above 0 expected");
-  if (config.settings.idle_close.count() <= 0)
-    throw ConfigError("settings: field 'idleCloseMs': above 0 expected");
-  if (const Json* known = member(object, "known")) {
-    try {
-      config.known = discovery::parse_servers(*known);
-      config.known.whole = true;
-      config.known.list.kind = basaltvane::ListKind::kCached;
-    } catch (const std::exception& e) {
-      throw ConfigError(std::string("known: ") + e.what());
-    }
-  }
+  if (const Json* settings = top.object("settings", true))
+    config.settings = read_settings(*settings, findings);
+  if (const Json* known = member(object, "known")) config.known = read_known(*known, findings);
+  std::vector<std::string> lines = basaltvane::settings::report(file, source, findings);
+  if (std::any_of(findings.begin(), findings.end(),
+                  [](const Finding& f) { return f.severity == Severity::kRefuse; }))
+    throw ConfigError(lines);
+  config.warnings = std::move(lines);
   return config;
 }
 
--- a/src/app/config.hpp
+++ b/src/app/config.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 #include "basaltvane/router.hpp"
 #include "discovery/servers.hpp"
@@ -15,9 +16,11 @@
 
 namespace bitternferry::app {
 
-// what() is one line that names the field.
+// what() has a line for each thing that is wrong, which names the field.
 struct ConfigError : std::runtime_error {
   using std::runtime_error::runtime_error;
+  explicit ConfigError(const std::vector<std::string>& all);
+  std::vector<std::string> lines() const;
 };
 
 struct Config {
@@ -30,13 +33,14 @@
   basaltvane::Settings settings;
   nlohmann::json source;  // the file, but for its list of replicas: a later one must have all of its keys
   discovery::Servers known;
+  std::vector<std::string> warnings;  // a line for each thing that is odd, but can be served by
 };
 
 using Environment = std::map<std::string, std::string>;
 Environment read_environment();
 
 // PROXY_CONFIG names the JSON file; PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_CONSOLE go before
-// what it says.
+// what it says. All that is wrong is told at once, with file and line: docs/settings.md.
 Config parse_config(const std::string& text, const Environment& environment);  // throws ConfigError
 Config load_config(const Environment& environment);                            // throws ConfigError
 // The same file read again under way. Here its discovery goes before the environment's, which is as old as
--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -1,5 +1,6 @@
 #include "app/dispatcher.hpp"
 
+#include <algorithm>
 #include <cctype>
 #include <csignal>
 #include <string>
@@ -249,10 +250,17 @@
 void Dispatcher::reload() {
   if (!read_again_) return;
   try {
-    adopt(read_again_());
+    const Files files = read_again_();
+    adopt(files);
+    for (const std::string& line : files.config.warnings) log_(line);
     std::string classes;
     for (const auto& c : rules_->classes) classes += " " + c.name;
     log_("reloaded: discovery at " + text(config_.discovery) + ", classes" + classes);
+  } catch (const ConfigError& e) {
+    const std::vector<std::string> lines = e.lines();
+    if (lines.size() > 1) std::for_each(lines.begin(), lines.end(), log_);
+    log_("reload failed, the old configuration stays: " +
+         (lines.size() > 1 ? "see the lines above" : lines[0]));
   } catch (const std::exception& e) {
     std::string what = e.what();  // a line each, where several things are wrong
     for (std::size_t at = 0; (at = what.find('\n', at)) != std::string::npos;) what.replace(at, 1, "; ");
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -41,6 +41,7 @@
 int serve(const std::function<app::Texts()>& texts, bool log_requests) {
   const app::Config config = load({});
   app::Loop loop;
+  for (const std::string& line : config.warnings) log_line(loop.now(), line);
   app::Dispatcher dispatcher(
       loop, config, texts(), [&loop](std::string_view text) { log_line(loop.now(), text); },
       [&texts] {
@@ -58,6 +59,7 @@
   if (texts.rules) limits::RuleSet::read(*texts.rules, limits::vocabulary_of(config.settings));
   if (texts.levels) levels::Control::read(*texts.levels, config.settings);
   const bool paired = !texts.vrrp.text.empty() && vrrp::parse_config(texts.vrrp).has_value();
+  for (const std::string& line : config.warnings) std::cout << line << "\n";
   std::cout << "ok: " << config.name << ", " << config.settings.classes.size() << " classes, "
             << config.known.list.entries.size() << " replicas known, chat front " << (chats ? "on" : "off")
             << ", VRRP " << (paired ? "on" : "off") << ", rules " << (texts.rules ? "read" : "none")
@@ -193,8 +195,10 @@
                         read_optional(vrrp, vrrp_option->count() > 0), rule_text(read_rules), level_text()};
     };
     return *check ? check_config(path, texts()) : serve(texts, log_requests);
+  } catch (const app::ConfigError& e) {
+    for (const std::string& line : e.lines()) std::cerr << "bitternferry: " << line << "\n";
   } catch (const std::exception& e) {
     std::cerr << "bitternferry: " << e.what() << "\n";
-    return 1;
   }
+  return 1;
 }
--- /dev/null
+++ b/src/settings/positions.hpp
@@ -0,0 +1,25 @@
+// Where the fields of a JSON text stand, which nlohmann's values do not keep.
+#ifndef BASALTVANE_SETTINGS_POSITIONS_HPP_
+#define BASALTVANE_SETTINGS_POSITIONS_HPP_
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace basaltvane::settings {
+
+class Positions {
+ public:
+  // Text that is no JSON has the positions of what came before the mistake.
+  explicit Positions(std::string_view json);
+  // The line, from 1, of a field such as settings.categories[1].deadlineMs: of its key or, in an array, of
+  // its value. Of one that is not there, the line of the innermost object or array round it that is.
+  int line_of(std::string path) const;
+
+ private:
+  std::map<std::string, int> lines_;
+};
+
+}  // namespace basaltvane::settings
+
+#endif  // BASALTVANE_SETTINGS_POSITIONS_HPP_
--- a/tests/dispatcher/console_test.cpp
+++ b/tests/dispatcher/console_test.cpp
@@ -111,7 +111,7 @@
   };
   CHECK(problem({}).find("'console'") != std::string::npos);
   CHECK(problem({{"PROXY_CONSOLE", "127.0.0.1:5"}}) ==
-        "field 'settings': object expected");  // the next field
+        "configuration:1: field 'settings': missing; wanted: object");  // all that is left
 }
 
 // ---- the module ----
--- a/tests/dispatcher/parsers_test.cpp
+++ b/tests/dispatcher/parsers_test.cpp
@@ -258,15 +258,18 @@
     }
     return std::string("none");
   };
-  CHECK(problem("/listen", "here") == "field 'listen': address and port expected, not 'here'");
-  CHECK(problem("/seed", "xyz") == "field 'seed': hexadecimal text expected");
-  CHECK(problem("/limits/sockets", 0) == "field 'limits.sockets': number above 0 expected");
-  CHECK(problem("/settings", 5) == "field 'settings': object expected");
-  CHECK(problem("/settings/limits/idleCloseMs", 0) == "settings: field 'idleCloseMs': above 0 expected");
+  const auto told = [](const std::string& what) { return "configuration:1: field " + what; };
+  CHECK(problem("/listen", "here") == told("'listen': 'here'; wanted: address and port"));
+  CHECK(problem("/seed", "xyz") == told("'seed': no number; wanted: hexadecimal text"));
+  CHECK(problem("/limits/sockets", 0) == told("'limits.sockets': 0; wanted: number above 0"));
+  CHECK(problem("/settings", 5) == told("'settings': no object; wanted: object"));
+  CHECK(problem("/settings/limits/idleCloseMs", 0) ==
+        told("'settings.limits.idleCloseMs': 0 ms: no connection can be kept; wanted: above 0"));
   CHECK(problem("/settings/limits/connectTimeoutMs", "x") ==
-        "settings: field 'connectTimeoutMs': number expected");
-  CHECK(problem("/settings/limits/mostTries", 0).find("limits.mostTries") != std::string::npos);
-  CHECK(problem("/known", 5) == "known: an object expected");
+        told("'settings.limits.connectTimeoutMs': \"x\"; wanted: number of milliseconds"));
+  CHECK(problem("/settings/limits/mostTries", 0) ==
+        told("'settings.limits.mostTries': 0; wanted: at least 1"));
+  CHECK(problem("/known", 5) == told("'known': an object expected"));
   CHECK_THROWS_AS(app::parse_config("{", {}), app::ConfigError);
 }
 
