--- a/src/settings/check.cpp
+++ b/src/settings/check.cpp
@@ -12,6 +12,7 @@
 
 std::string number(double value) {
   std::ostringstream out;
+  out.precision(10);
   out << value;
   return out.str();
 }
@@ -20,6 +21,11 @@
   return std::string(array) + "[" + std::to_string(i) + "]" + field;
 }
 
+// Longer times are a slip of the pen, and their multiples would not fit: an objective grows with a prompt,
+// whose length is the client's word.
+constexpr Duration kMostTime = std::chrono::hours(24);
+constexpr Duration kMostTick = std::chrono::hours(1);  // timers reach 71 minutes
+
 class Findings {
  public:
   void refuse(std::string field, std::string wrong, std::string wanted) {
@@ -29,10 +35,19 @@
     all_.push_back({Severity::kWarn, std::move(field), std::move(wrong), std::move(wanted)});
   }
   void refuse_below_0(std::string field, Duration time) {
-    if (time.count() < 0) refuse(std::move(field), ms(time), "at least 0");
+    if (time.count() < 0)
+      refuse(std::move(field), ms(time), "at least 0");
+    else
+      refuse_beyond(std::move(field), time, kMostTime);
   }
   void refuse_up_to_0(std::string field, Duration time) {
-    if (time.count() <= 0) refuse(std::move(field), ms(time), "above 0");
+    if (time.count() <= 0)
+      refuse(std::move(field), ms(time), "above 0");
+    else
+      refuse_beyond(std::move(field), time, kMostTime);
+  }
+  void refuse_beyond(std::string field, Duration time, Duration most) {
+    if (time > most) refuse(std::move(field), ms(time), "at most " + ms(most));
   }
   // The bounds that follow are worded so that a number that is none (NaN) is out of them too.
   void refuse_below_0(std::string field, double value) {
@@ -84,6 +99,7 @@
 
 void check_times(const Settings& s, Findings& f) {
   f.refuse_below_0("granularityMs", s.tick);
+  if (s.tick <= kMostTime) f.refuse_beyond("granularityMs", s.tick, kMostTick);
   f.refuse_below_0("familyInfo.pinLimitMs", s.pin_limit);
   f.refuse_below_0("guarantees.answerSlackMs", s.answer_slack);
   f.refuse_below_0("guarantees.askEveryMs", s.ask_every);
@@ -146,6 +162,13 @@
   }
 }
 
+// The module looks at what waits every 20 ms, which is at the first tick then, and lets go of a state when
+// 0.7 of the limit is over: what is left must be as long as it takes to look.
+Duration shortest_pin(const Settings& s) {
+  const Duration tick = std::max(s.tick, Duration(1)), look = std::chrono::milliseconds(20);
+  return (look + tick - Duration(1)) / tick * tick * 10 / 3;
+}
+
 // ---- values against each other ----
 
 void check_service(const Settings& s, Findings& f) {
@@ -207,10 +230,9 @@
   if (soonest.count() > 0 && s.pin_limit > soonest)
     f.warn("familyInfo.pinLimitMs", ms(s.pin_limit) + ", longer than the shortest deadline",
            "at most " + ms(soonest));
-  if (s.pin_limit.count() >= 0 && s.pin_limit <= s.tick)
-    f.warn("familyInfo.pinLimitMs",
-           ms(s.pin_limit) + ", no longer than a tick: no state can wait for a writer",
-           "above " + ms(s.tick));
+  if (s.pin_limit.count() >= 0 && s.pin_limit < shortest_pin(s))
+    f.warn("familyInfo.pinLimitMs", ms(s.pin_limit) + ": a state that finds no writer at once may outlive it",
+           "at least " + ms(shortest_pin(s)));
   if (s.drain_grace.count() >= 0 && s.drain_grace < s.tick)
     f.warn("guarantees.drainGraceMs", ms(s.drain_grace) + ", less than a tick", "at least " + ms(s.tick));
 }
--- a/tests/settings_check_test.cpp
+++ b/tests/settings_check_test.cpp
@@ -15,6 +15,7 @@
 
 namespace {
 
+using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 using testing::Harness;
@@ -52,6 +53,16 @@
       {"myNumber", [](Settings& s) { s.router_number = s.router_count; }},
       {"limits.mostTries", [](Settings& s) { s.max_attempts = 0; }},
       {"granularityMs", [](Settings& s) { s.tick = milliseconds(-1); }},
+      {"granularityMs",
+       [](Settings& s) {
+         s.tick = s.answer_slack = s.drain_grace = hours(2);
+         s.pin_limit = hours(7);
+         for (RequestClass& c : s.classes) c.deadline = hours(24);
+       }},
+      {"guarantees.coldMs", [](Settings& s) { s.cold_time = hours(25); }},
+      {"categories[1].deadlineMs", [](Settings& s) { s.classes[1].deadline = hours(25); }},
+      {"familyInfo.aimUsPer1000PromptTokens[1]",
+       [](Settings& s) { s.classes[1].objective_per_1000_tokens = hours(25); }},
       {"familyInfo.pinLimitMs", [](Settings& s) { s.pin_limit = milliseconds(-1); }},
       {"guarantees.answerSlackMs", [](Settings& s) { s.answer_slack = milliseconds(-1); }},
       {"guarantees.askEveryMs", [](Settings& s) { s.ask_every = milliseconds(-1); }},
@@ -115,16 +126,12 @@
        }},
       {"categories[2].windowMs", [](Settings& s) { s.classes[2].window = {}; }},
       {"categories[1].deadlineMs", [](Settings& s) { s.classes[1].deadline = seconds(2); }},
-      {"categories[1].deadlineMs",
-       [](Settings& s) {
-         s.classes[1].objective = s.classes[1].deadline = seconds(2);
-         s.tick = s.answer_slack = s.drain_grace = seconds(1);
-         s.pin_limit = milliseconds(1001);
-       }},
       {"guarantees.answerSlackMs", [](Settings& s) { s.answer_slack = seconds(6); }},
       {"guarantees.answerSlackMs", [](Settings& s) { s.answer_slack = milliseconds(3); }},
       {"familyInfo.pinLimitMs", [](Settings& s) { s.pin_limit = seconds(7); }},
-      {"familyInfo.pinLimitMs", [](Settings& s) { s.pin_limit = s.tick; }},
+      {"familyInfo.pinLimitMs", [](Settings& s) { s.pin_limit = milliseconds(66); }},
+      {"familyInfo.pinLimitMs",
+       [](Settings& s) { s.tick = milliseconds(15), s.pin_limit = milliseconds(99); }},
       {"guarantees.drainGraceMs", [](Settings& s) { s.drain_grace = milliseconds(3); }},
       {"guarantees.tipMultiple", [](Settings& s) { s.tip_multiple = 0; }},
       {"guarantees.tipMultiple", [](Settings& s) { s.tip_multiple = 0.9; }},
@@ -167,6 +174,7 @@
       [](Settings& s) { s.goal = {}, s.prices = {}; },
       [](Settings& s) { s.retry_advice = false, s.max_retry_in = {}; },
       [](Settings& s) { s.tick = s.answer_slack = s.drain_grace = {}; },
+      [](Settings& s) { s.tick = milliseconds(15), s.pin_limit = milliseconds(100); },
       [](Settings& s) { s.connect_timeout = s.idle_close = {}; },  // a host of the module without sockets
   };
   for (std::size_t i = 0; i < changes.size(); ++i) {
@@ -213,6 +221,24 @@
   }
 }
 
+// Its deadline is too short for a state to wait as well.
+TEST(Check, ADeadlineWithinTwoTicksHasEachOfItsRequestsRefusedAtOnce) {
+  Settings s = sound();
+  s.classes.resize(1);
+  s.classes[0].objective = milliseconds(500);
+  s.classes[0].deadline = milliseconds(600);
+  s.tick = s.answer_slack = milliseconds(300);
+  s.drain_grace = s.pin_limit = milliseconds(1000);
+  EXPECT_EQ(check(s), (std::vector<Finding>{{Severity::kWarn, "categories[0].deadlineMs", "", ""},
+                                            {Severity::kWarn, "familyInfo.pinLimitMs", "", ""}}));
+  Harness h(s);
+  h.list({host("r1", "r"), host("w1", "w")});
+  Request r = h.make("a");
+  r.client_deadline = h.now + s.classes[0].deadline;
+  h.pass(r);
+  EXPECT_EQ(h.refused, std::vector<std::string>{"a"});
+}
+
 TEST(Check, TellsAllThatIsWrongAtOnce) {
   Settings s = sound();
   s.router_number = 7;
