--- a/tests/dispatcher/parsers_test.cpp
+++ b/tests/dispatcher/parsers_test.cpp
@@ -240,7 +240,7 @@
       nlohmann::json::parse(R"({"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2",
     "seed":"8c1f","limits":{"sockets":512,"memory_mb":192},"settings":{"myNumber":0,"balancers":2,"myZone":"here",
     "categories":[{"name":"ask","repeat":"safe","objectiveMs":1200,"deadlineMs":6000,"worth":1}],
-    "hostTypes":["reader"],"familyInfo":{"dutyByKind":["read"],"pinLimitMs":300},"registryMode":"push",
+    "hostTypes":["reader","writer"],"familyInfo":{"dutyByKind":["read","write"],"pinLimitMs":300},"registryMode":"push",
     "limits":{"mostTries":4,"connectTimeoutMs":250,"idleCloseMs":15000},"granularityMs":4,
     "guarantees":{"answerSlackMs":16,"drainGraceMs":250,"coldShare":0.3,"coldMs":14000,"tipMultiple":4,"tipAfterMs":2000}}})");
   const auto config = app::parse_config(good.dump(), {{"PROXY_NAME", "n7"}});
@@ -258,15 +258,18 @@
     }
     return std::string("none");
   };
-  CHECK(problem("/listen", "here") == "field 'listen': address and port expected, not 'here'");
-  CHECK(problem("/seed", "xyz") == "field 'seed': hexadecimal text expected");
-  CHECK(problem("/limits/sockets", 0) == "field 'limits.sockets': number above 0 expected");
-  CHECK(problem("/settings", 5) == "field 'settings': object expected");
-  CHECK(problem("/settings/limits/idleCloseMs", 0) == "settings: field 'idleCloseMs': above 0 expected");
+  const auto told = [](const std::string& what) { return "configuration:1: field " + what; };
+  CHECK(problem("/listen", "here") == told("'listen': 'here'; wanted: address and port"));
+  CHECK(problem("/seed", "xyz") == told("'seed': no number; wanted: hexadecimal text"));
+  CHECK(problem("/limits/sockets", 0) == told("'limits.sockets': 0; wanted: number above 0"));
+  CHECK(problem("/settings", 5) == told("'settings': no object; wanted: object"));
+  CHECK(problem("/settings/limits/idleCloseMs", 0) ==
+        told("'settings.limits.idleCloseMs': 0 ms: no connection can be kept; wanted: above 0"));
   CHECK(problem("/settings/limits/connectTimeoutMs", "x") ==
-        "settings: field 'connectTimeoutMs': number expected");
-  CHECK(problem("/settings/limits/mostTries", 0).find("max_attempts") != std::string::npos);
-  CHECK(problem("/known", 5) == "known: an object expected");
+        told("'settings.limits.connectTimeoutMs': \"x\"; wanted: number of milliseconds"));
+  CHECK(problem("/settings/limits/mostTries", 0) ==
+        told("'settings.limits.mostTries': 0; wanted: at least 1"));
+  CHECK(problem("/known", 5) == told("'known': an object expected"));
   CHECK_THROWS_AS(app::parse_config("{", {}), app::ConfigError);
 }
 
