Hold the design's sentences as tables of rows, played against the module from outside

Need: the design of the choice of reader and writer was held by a few tests of src/router.cpp, none of which said which sentence it stood for, and the file is about to be split. Nothing told where the module departs from the design on purpose and where without a reason.

Change: tests/conformance/ has 158 rows in ten topics. A row names its sentence (sentences.json: 39 with rows, 4 with the reason why none), plays events through the public interface, and says which server must be picked. A scorer of the tests' own works out the design's scores from events and actions; the row's figures must be these and its pick follow from them. Where the module departs on purpose the row names one of 21 deviations with their reasons. Every row is played with false expectations too, which must fail; misspelt rows are turned down.

Four rows are open, as the module contradicts the sentence without a stated reason: a server never heard of counts as one without work; a session's key leaves out the beginning before it; a shorter prompt shortens what is held; all requests without a key tie to one reader at all routers.

--- /dev/null
+++ b/tests/conformance/rows.hpp
@@ -0,0 +1,34 @@
+// The tables: rows that each stand for one sentence of the design, and how a row is played.
+#ifndef BASALTVANE_TESTS_CONFORMANCE_ROWS_HPP_
+#define BASALTVANE_TESTS_CONFORMANCE_ROWS_HPP_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "player.hpp"
+
+namespace basaltvane::conformance {
+
+struct Tables {
+  Json base;        // settings
+  Json sentences;   // key: what the design says, or why no row stands for it
+  Json deviations;  // key: what the module does instead, and why; `bounds`: the figures
+  std::map<std::string, std::vector<Json>> topics;
+  Bounds bounds;
+};
+
+// Throws std::runtime_error that names file and field.
+Tables load_tables(const std::string& folder);
+
+// What does not hold; empty: the row holds. An open row holds also by what the module does now.
+std::vector<std::string> play(const Json& row, const Tables& tables);
+// Whether an open row's sentence has come to hold, so that its mark can go.
+bool settled(const Json& row, const Tables& tables);
+
+// The same row with an expectation that is false if the row holds.
+std::vector<Json> told_wrongly(const Json& row, const Tables& tables);
+
+}  // namespace basaltvane::conformance
+
+#endif  // BASALTVANE_TESTS_CONFORMANCE_ROWS_HPP_
