Dispatchers of one fleet can share facts over UDP: membership, rows, rights, datagrams

src/membership, src/shared and the node in src/gossip do no I/O; the speaker carries their datagrams, which a type keeps within 256 bytes.

--- /dev/null
+++ b/src/gossip/config.cpp
@@ -0,0 +1,148 @@
+#include "gossip/config.hpp"
+
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "net/connection.hpp"
+#include "record/schema.hpp"
+
+namespace bitternferry::gossip {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kSchema = R"cue(
+#Fleet: {
+	share: *false | bool // false: each dispatcher works alone
+	members: {
+		period_ms:           *1_000 | (int & >=100 & <=60_000)
+		probe_timeout_ms:    *250 | (int & >=60 & <=10_000) // at least a round trip; below a third of the period
+		helpers:             *3 | (int & >=0 & <=8)
+		suspicion_periods:   *3.0 | (number & >=1 & <=20)   // times log10 of the count: the shortest wait
+		suspicion_stretch:   *4.0 | (number & >=1 & <=20)   // the longest wait, in shortest ones
+		confirmations:       *3 | (int & >=0 & <=8)
+		spread:              *4.0 | (number & >=1 & <=16)
+		call_every_periods:  *4 | (int & >=1 & <=60)
+	}
+	bytes: {
+		per_second: *768 | (int & >=64 & <=65_536) // sent by one member; each receiver counts
+		burst:      *16_384 | (int & >=1_024 & <=1_048_576)
+	}
+	rows: *4_096 | (int & >=64 & <=65_536) // kept, of all members together
+	rights: {
+		lend:     *true | bool
+		lease_ms: *10_000 | (int & >=1_000 & <=15_000)
+		kept:     *0.5 | (number & >=0 & <=1)        // part of its share that a member never lends
+		drift:    *0.001 | (number & >=0 & <=0.05)   // most by which a clock's rate is off
+	}
+}
+)cue";
+
+udp::endpoint endpoint(const Json& value, const std::string& field) {
+  const auto parsed = value.is_string() ? net::parse_endpoint(value.get<std::string>()) : std::nullopt;
+  if (!parsed) throw std::runtime_error("field '" + field + "': address and port expected");
+  return {parsed->address(), parsed->port()};
+}
+
+const Json* member(const Json& object, const char* field) {
+  if (!object.is_object()) return nullptr;
+  const auto it = object.find(field);
+  return it == object.end() || it->is_null() ? nullptr : &*it;
+}
+
+std::uint32_t read_tier(const Json& settings) {
+  const Json* tier = member(settings, "tier");
+  if (tier == nullptr) return 0;
+  if (!tier->is_number_unsigned() || tier->get<std::uint64_t>() > 1000)
+    throw std::runtime_error("settings: field 'tier': number expected");
+  return tier->get<std::uint32_t>();
+}
+
+membership::Duration ms(const record::Data& data) { return std::chrono::milliseconds(data.integer()); }
+
+membership::Parameters read_members(const record::Data& data) {
+  membership::Parameters p;
+  p.period = ms(data["period_ms"]);
+  p.probe_timeout = ms(data["probe_timeout_ms"]);
+  p.helpers = static_cast<unsigned>(data["helpers"].integer());
+  p.suspicion_least = data["suspicion_periods"].real();
+  p.suspicion_stretch = data["suspicion_stretch"].real();
+  p.confirmations = static_cast<unsigned>(data["confirmations"].integer());
+  p.spread = data["spread"].real();
+  p.call_every = static_cast<unsigned>(data["call_every_periods"].integer());
+  return p;
+}
+
+shared::Terms read_terms(const record::Data& data) {
+  shared::Terms terms;
+  terms.lends = data["lend"].flag();
+  terms.lease = ms(data["lease_ms"]);
+  terms.kept = data["kept"].real();
+  terms.drift = data["drift"].real();
+  return terms;
+}
+
+void check(const Links& links, const basaltvane::Settings& settings) {
+  const auto count = static_cast<std::size_t>(settings.router_count);
+  if (!links.listen) throw std::runtime_error("field 'peer_listen': missing, though talk is allowed");
+  if (links.peers.size() != count)
+    throw std::runtime_error("field 'peers': " + std::to_string(count) +
+                             " addresses expected, one a dispatcher, not " +
+                             std::to_string(links.peers.size()));
+  if (std::set<udp::endpoint>(links.peers.begin(), links.peers.end()).size() != count)
+    throw std::runtime_error("field 'peers': an address stands twice");
+}
+
+}  // namespace
+
+Links parse_links(const Json& configuration) {
+  Links links;
+  const Json* settings = member(configuration, "settings");
+  if (settings == nullptr) return links;
+  const Json* limits = member(*settings, "limits");
+  const Json* allowed = limits == nullptr ? nullptr : member(*limits, "peers");
+  if (allowed != nullptr && !allowed->is_boolean())
+    throw std::runtime_error("settings: field 'limits.peers': true or false expected");
+  links.allowed = allowed != nullptr && allowed->get<bool>();
+  if (!links.allowed) return links;
+  links.tier = read_tier(*settings);
+  if (const Json* listen = member(configuration, "peer_listen"))
+    links.listen = endpoint(*listen, "peer_listen");
+  if (const Json* all = member(configuration, "peers_all")) links.everyone = endpoint(*all, "peers_all");
+  if (const Json* peers = member(configuration, "peers")) {
+    if (!peers->is_array()) throw std::runtime_error("field 'peers': list of addresses expected");
+    for (std::size_t i = 0; i < peers->size(); ++i)
+      links.peers.push_back(endpoint((*peers)[i], "peers[" + std::to_string(i) + "]"));
+  }
+  return links;
+}
+
+std::optional<Config> parse_config(const record::File& file, const basaltvane::Settings& settings,
+                                   const Links& links) {
+  static const record::Schema schema(kSchema, "#Fleet");
+  const record::Data data = schema.read(file);
+  Config config;
+  config.links = links;
+  Options& o = config.options;
+  o.swim = read_members(data["members"]);
+  if (o.swim.probe_timeout * 3 >= o.swim.period) {
+    const auto& at = data["members"]["probe_timeout_ms"];
+    throw record::Errors(file.name, {record::problem(at, "below a third of period_ms expected")});
+  }
+  o.rights = read_terms(data["rights"]);
+  o.rows = static_cast<std::size_t>(data["rows"].integer());
+  o.bytes_per_second = data["bytes"]["per_second"].integer();
+  o.burst_bytes = data["bytes"]["burst"].integer();
+  if (!data["share"].flag() || !links.allowed || settings.router_count < 2) return std::nullopt;
+  check(links, settings);
+  o.self = static_cast<Number>(settings.router_number);
+  o.count = static_cast<Number>(settings.router_count);
+  o.tier = links.tier;
+  return config;
+}
+
+}  // namespace bitternferry::gossip
--- /dev/null
+++ b/src/gossip/speaker.cpp
@@ -0,0 +1,94 @@
+#include "gossip/speaker.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+namespace bitternferry::gossip {
+
+Speaker::Speaker(boost::asio::io_context& io, const Links& links, Node& node, core::Deadlines& deadlines,
+                 core::Clock clock)
+    : node_(node), deadlines_(deadlines), clock_(std::move(clock)), socket_(io, links.listen.value()) {
+  // The loop must not wait for room: a datagram that finds none is lost, as others are.
+  socket_.non_blocking(true);
+  set_links(links);
+}
+
+void Speaker::set_links(const Links& links) {
+  links_ = links;
+  numbers_.clear();
+  for (std::size_t i = 0; i < links_.peers.size(); ++i)
+    numbers_.emplace(links_.peers[i], static_cast<Number>(i));
+}
+
+void Speaker::start() {
+  receive();
+  carry(node_.start(clock_()));
+}
+
+void Speaker::poke() {
+  if (!socket_.is_open()) return;
+  if (const Time now = clock_(); node_.next() <= now) return carry(node_.tick(now));
+  arm();
+}
+
+void Speaker::leave() {
+  if (!socket_.is_open()) return;
+  carry(node_.leave(clock_()));
+  stop();
+}
+
+void Speaker::stop() {
+  deadlines_.drop(timer_);
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+}
+
+void Speaker::receive() {
+  socket_.async_receive_from(boost::asio::buffer(packet_), from_,
+                             [this](boost::system::error_code error, std::size_t size) {
+                               // Closed, or gone: nothing of this object may be touched.
+                               if (error == boost::asio::error::operation_aborted) return;
+                               if (!socket_.is_open()) return;
+                               // A member that is down answers what was sent to it with an error here.
+                               if (!error) take(size);
+                               receive();
+                             });
+}
+
+void Speaker::take(std::size_t size) {
+  const auto number = numbers_.find(from_);
+  if (number == numbers_.end()) return node_.unknown_address();
+  carry(node_.received(clock_(), number->second, {packet_.data(), size}));
+}
+
+void Speaker::send(const Datagram& datagram, const udp::endpoint& to) {
+  boost::system::error_code ignored;  // what is lost is the protocol's to bear
+  const auto bytes = datagram.bytes();
+  socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), to, 0, ignored);
+}
+
+void Speaker::carry(const Node::Sent& sent) {
+  for (const Outgoing& one : sent) {
+    if (one.to) {
+      send(one.datagram, links_.peers.at(*one.to));
+    } else if (links_.everyone) {
+      send(one.datagram, *links_.everyone);
+    } else {
+      for (Number n = 0; n < links_.peers.size(); ++n) {
+        if (n != node_.members().self()) send(one.datagram, links_.peers[n]);
+      }
+    }
+  }
+  arm();
+}
+
+void Speaker::arm() {
+  deadlines_.drop(timer_);
+  if (!socket_.is_open()) return;
+  timer_ = deadlines_.add(node_.next(), [this] {
+    timer_ = {};
+    carry(node_.tick(clock_()));
+  });
+}
+
+}  // namespace bitternferry::gossip
--- /dev/null
+++ b/src/gossip/speaker.hpp
@@ -0,0 +1,49 @@
+// Carries a node's datagrams over UDP, and tells it the time. Nothing is decided here.
+#ifndef BITTERNFERRY_GOSSIP_SPEAKER_HPP_
+#define BITTERNFERRY_GOSSIP_SPEAKER_HPP_
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <map>
+
+#include "core/deadlines.hpp"
+#include "gossip/node.hpp"
+
+namespace bitternferry::gossip {
+
+class Speaker {
+ public:
+  // Binds to links.listen; throws boost::system::system_error where it can't. The node outlives the speaker.
+  Speaker(boost::asio::io_context& io, const Links& links, Node& node, core::Deadlines& deadlines,
+          core::Clock clock);
+  ~Speaker() { stop(); }
+  void start();
+  void poke();   // the node was written to: it may have something to say at once
+  void leave();  // tells the others, then stops
+  void stop();   // without a word
+  udp::endpoint local() const { return socket_.local_endpoint(); }
+  // For tests on ephemeral ports, which are known only once all sockets are bound.
+  void set_links(const Links& links);
+
+ private:
+  void receive();
+  void take(std::size_t size);
+  void carry(const Node::Sent& sent);
+  void send(const Datagram& datagram, const udp::endpoint& to);
+  void arm();
+
+  Links links_;
+  std::map<udp::endpoint, Number> numbers_;
+  Node& node_;
+  core::Deadlines& deadlines_;
+  core::Clock clock_;
+  udp::socket socket_;
+  udp::endpoint from_;
+  std::array<std::uint8_t, kMostBytes + 1> packet_{};  // one more: a longer one is noticed
+  core::Deadlines::Id timer_;
+};
+
+}  // namespace bitternferry::gossip
+
+#endif  // BITTERNFERRY_GOSSIP_SPEAKER_HPP_
--- /dev/null
+++ b/src/membership/suspicion.cpp
@@ -0,0 +1,26 @@
+#include "membership/suspicion.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bitternferry::membership {
+
+Suspicion::Suspicion(Time since, Number accuser, unsigned wanted, Duration least, Duration most)
+    : since_(since), wanted_(wanted), least_(least), most_(std::max(least, most)), accusers_{accuser} {}
+
+bool Suspicion::confirm(Number accuser) {
+  if (accusers_.size() > wanted_) return false;
+  if (std::find(accusers_.begin(), accusers_.end(), accuser) != accusers_.end()) return false;
+  accusers_.push_back(accuser);
+  return true;
+}
+
+Duration Suspicion::wait() const {
+  if (wanted_ == 0) return least_;
+  const auto confirmations = static_cast<double>(accusers_.size() - 1);
+  const double part = std::log(confirmations + 1) / std::log(static_cast<double>(wanted_) + 1);
+  const auto shorter = static_cast<double>((most_ - least_).count()) * std::min(1.0, part);
+  return std::max(least_, most_ - Duration(static_cast<Duration::rep>(shorter)));
+}
+
+}  // namespace bitternferry::membership
--- /dev/null
+++ b/src/shared/doubt.cpp
@@ -0,0 +1,37 @@
+#include "shared/doubt.hpp"
+
+#include "shared/facts.pb.h"
+
+namespace bitternferry::shared {
+
+std::vector<std::uint8_t> encode(const Doubt& doubt) {
+  wire::Doubt w;
+  w.set_failed(doubt.failed);
+  w.set_tried(doubt.tried);
+  std::vector<std::uint8_t> bytes(w.ByteSizeLong());
+  w.SerializeWithCachedSizesToArray(bytes.data());
+  return bytes;
+}
+
+std::optional<Doubt> decode_doubt(Bytes payload) {
+  wire::Doubt w;
+  if (!w.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) return std::nullopt;
+  if (w.tried() == 0 || w.tried() > kMostTried || w.failed() > w.tried()) return std::nullopt;
+  return Doubt{w.failed(), w.tried()};
+}
+
+Kind doubt_kind() {
+  Kind kind;
+  kind.id = kDoubtKind;
+  kind.name = "doubt";
+  kind.most_payload = 8;
+  kind.most_age = std::chrono::seconds(30);
+  kind.half_life = std::chrono::seconds(10);
+  kind.spread = 2;
+  kind.urgency = 2;
+  kind.at_once = true;
+  kind.valid = [](Bytes payload) { return decode_doubt(payload).has_value(); };
+  return kind;
+}
+
+}  // namespace bitternferry::shared
--- /dev/null
+++ b/src/shared/doubt.hpp
@@ -0,0 +1,26 @@
+// A member's doubt about a replica: the part of its latest attempts there that failed. A hint to others, to
+// be weighed by its age and its owner's silence.
+#ifndef BITTERNFERRY_SHARED_DOUBT_HPP_
+#define BITTERNFERRY_SHARED_DOUBT_HPP_
+
+#include <optional>
+#include <vector>
+
+#include "shared/kinds.hpp"
+
+namespace bitternferry::shared {
+
+inline constexpr std::uint32_t kDoubtKind = 1;
+
+struct Doubt {
+  std::uint32_t failed = 0, tried = 0;  // at most kMostTried; failed at most tried, tried at least 1
+};
+inline constexpr std::uint32_t kMostTried = 1000;
+
+Kind doubt_kind();  // its key: key_of(the replica's name)
+std::vector<std::uint8_t> encode(const Doubt& doubt);
+std::optional<Doubt> decode_doubt(Bytes payload);  // none: not within the bounds
+
+}  // namespace bitternferry::shared
+
+#endif  // BITTERNFERRY_SHARED_DOUBT_HPP_
--- /dev/null
+++ b/src/shared/kinds.cpp
@@ -0,0 +1,30 @@
+#include "shared/kinds.hpp"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace bitternferry::shared {
+
+const Kind& Kinds::add(Kind kind) {
+  const std::string name = "kind " + std::to_string(kind.id) + " (" + kind.name + "): ";
+  if (kind.id == 0 || kind.id > kMostKind) throw std::logic_error(name + "bad number");
+  if (kind.most_payload > kMostPayload) throw std::logic_error(name + "payload too long");
+  if (!kind.valid) throw std::logic_error(name + "declares no bounds");
+  if (kind.most_age <= Duration::zero() || kind.half_life <= Duration::zero() || kind.spread == 0)
+    throw std::logic_error(name + "bad age, half-life or spread");
+  const auto [it, added] = kinds_.emplace(kind.id, std::move(kind));
+  if (!added) throw std::logic_error(name + "number taken by " + it->second.name);
+  return it->second;
+}
+
+const Kind* Kinds::find(std::uint32_t id) const {
+  const auto it = kinds_.find(id);
+  return it == kinds_.end() ? nullptr : &it->second;
+}
+
+std::uint64_t key_of(std::string_view name) { return XXH3_64bits(name.data(), name.size()) >> 24U; }
+
+}  // namespace bitternferry::shared
