--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -240,7 +240,8 @@
 }
 
 std::optional<Number> Membership::next_in(std::vector<Number>& order, std::size_t& place, bool living) {
-  for (std::size_t tried = 0; tried < order.size(); ++tried) {
+  // Twice round, as the rest of this round and the next one's beginning may name the same ones.
+  for (std::size_t tried = 0; tried < 2 * order.size(); ++tried) {
     if (place >= order.size()) {
       place = 0;
       shuffle(order, random_);
@@ -336,6 +337,44 @@
   return at;
 }
 
+std::uint64_t Membership::state_hash(Time now) const {
+  Random random = random_;
+  std::vector<std::uint64_t> s = {random(),
+                                  random(),
+                                  health_.score(),
+                                  place_,
+                                  call_place_,
+                                  page_,
+                                  sequence_,
+                                  period_ % p_.call_every,
+                                  probing_.has_value(),
+                                  relays_.size()};
+  const auto time = [&](Time at) { s.push_back(static_cast<std::uint64_t>((at - now).count())); };
+  s.insert(s.end(), order_.begin(), order_.end());
+  s.insert(s.end(), call_order_.begin(), call_order_.end());
+  time(probe_at_);
+  for (const Member& m : members_) {
+    const Claim& c = m.claim;
+    s.insert(s.end(), {c.incarnation.life, c.incarnation.refuted, static_cast<std::uint64_t>(c.standing),
+                       c.by, m.sends_left, m.suspicion.has_value()});
+    if (!m.suspicion) continue;
+    time(m.suspicion->ends());
+    s.insert(s.end(), m.suspicion->accusers().begin(), m.suspicion->accusers().end());
+  }
+  if (probing_) {
+    s.insert(s.end(), {probing_->target, probing_->sequence, probing_->asked, probing_->answered,
+                       probing_->helpers, probing_->nacks});
+    time(probing_->again);
+    time(probing_->ends);
+  }
+  for (const Relay& r : relays_) {
+    s.insert(s.end(), {r.origin, r.origin_sequence, r.sequence, r.target, r.nacked});
+    time(r.nack_at);
+    time(r.ends);
+  }
+  return XXH3_64bits(s.data(), s.size() * sizeof s[0]);
+}
+
 std::vector<Sending> Membership::leave() {
   members_[self_].claim.standing = Standing::kDead;
   members_[self_].sends_left = sends();
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -79,6 +79,9 @@
   unsigned unwell() const { return health_.score(); }
   std::vector<Change> take_changes() { return std::exchange(changes_, {}); }
 
+  // Over all that it will act by, times from `now` on: machines with equal ones act alike. For exploring.
+  std::uint64_t state_hash(Time now) const;
+
   struct Counts {
     std::uint64_t suspicions = 0, refutations = 0, deaths = 0, probes = 0, failed_probes = 0, pauses = 0;
   };
--- a/src/shared/rights.cpp
+++ b/src/shared/rights.cpp
@@ -324,6 +324,30 @@
   for (auto& [id, h] : wholes_) h.asked.reset();
 }
 
+std::uint64_t Rights::state_hash(Time now) const {
+  std::vector<std::uint64_t> s = {life_, sequence_};
+  const auto time = [&](Time at) { s.push_back(static_cast<std::uint64_t>((at - now).count())); };
+  time(std::max(now, lends_from_));
+  for (const auto& [id, h] : wholes_) {
+    s.insert(s.end(), {id.kind, id.key, h.units, h.wanted, h.level, h.closed, h.asked.has_value()});
+    time(h.settled);
+    time(std::max(now, h.ask_at));
+    for (const auto& [to, lent] : h.lent) {
+      s.insert(s.end(), {to, lent.life, lent.sequence, lent.amount, lent.until && *lent.until > now});
+      if (lent.until && *lent.until > now) time(*lent.until);
+    }
+    for (const auto& [from, loan] : h.borrowed) {
+      s.insert(s.end(), {from, loan.sequence, loan.amount});
+      time(loan.until);
+    }
+    if (!h.asked) continue;
+    s.insert(s.end(), {h.asked->lender, h.asked->ask.sequence, h.asked->ask.renews, h.asked->ask.amount});
+    time(h.asked->first);
+    time(h.asked->again);
+  }
+  return XXH3_64bits(s.data(), s.size() * sizeof s[0]);
+}
+
 std::optional<Time> Rights::next() const {
   std::optional<Time> at;
   const auto consider = [&](Time t) { at = at ? std::min(*at, t) : t; };
--- a/src/shared/rights.hpp
+++ b/src/shared/rights.hpp
@@ -119,6 +119,9 @@
   const Counts& counts() const { return counts_; }
   std::size_t size() const { return wholes_.size(); }
 
+  // Over all that it will act by, times from `now` on, but the randomness. For exploring.
+  std::uint64_t state_hash(Time now) const;
+
   struct Lent {  // by borrower
     std::uint64_t life = 0;
     std::uint32_t sequence = 0;
