The properties hold the pin limit also where connections fail to come up

Need: the drawn scripts knew free connects for reads alone, and counted each failed connection as the end of a wait. Change: on sockets (drawn together with the free connects) a failed connection leaves the time running, and each send of a held state must say by when its connection has to stand.

--- a/tests/settings_property_test.cpp
+++ b/tests/settings_property_test.cpp
@@ -104,6 +104,7 @@
   const bool whole = s.writers_read || s.kinds[2].role == Role::kMixed;
   s.max_attempts = pick.whole(whole ? 1 : 2, 8);
   s.free_connects = pick.maybe() ? 4 * s.max_attempts : 0;
+  s.pinned_while_connecting = s.free_connects > 0;  // both on sockets alone
   s.list_by_asking = pick.maybe();
   s.early_pairing = pick.maybe();
   s.resume = pick.maybe();
