Buffers under a read or write stay where they are; closes of clients linger

Cause: RingBuffer::consume gave the memory back, or set the head anew, while a read was under way into it. A client that sends requests at once has its second one taken from the event loop (Server::end), while the next read waits; the bytes of that read then lie where nobody looks, the oldest request is read once more, or the memory is gone (ring_buffer.hpp consume, server.cpp end and cut). Likewise a write under way lost its memory when more was queued behind it (append, grow): a slow reader could be sent anything. Ruled out: Beast's parser, which is fed the same way in parsers_test; the log names no other frame. Change: the buffer knows of the read (prepare to commit) and leaves its place alone; a write holds its storage. Every connection that this side ends goes through one lingering close: output, half-close, read and discard to a bound; its time runs from the last byte sent, so that a slow reader gets all (it had 0.5 s). Idle connections are no longer closed over a request that crosses. A table makes room in good order while some is left. Connections that the machine has accepted are taken before a listener closes. A full buffer no longer hides a client's end (Server::on_early). Only a lack of descriptors sheds a client when accept fails.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -14,6 +14,9 @@
 constexpr Duration kGrace = std::chrono::milliseconds(250);
 // What a client may still send after its last answer, to be thrown away. TCP holds back what is beyond.
 constexpr std::size_t kMostDiscarded = kMostBody;
+// Room that is made before a table is full, a part of it: an orderly close takes a while.
+constexpr std::size_t kEarlyRoom = 8;
+constexpr int kResting = 2;  // the use of a connection between two requests: see use()
 
 // Two lengths may hide a second request in the body of the first, and a coding that isn't known here leaves
 // the body's end open (RFC 9112, 6.1).
@@ -46,26 +49,27 @@
   client.since = clock_();
   wait(id, options_.greeting);
   client.connection->read();
-  if (clients_.size() >= options_.most_clients && !shed(id)) listener_.rest();
+  make_room(id);
 }
 
 // Out of descriptors, most likely: the backlog keeps the client until some are free again.
-void Server::on_accept_failed(net::error_code) {
-  if (!shed() && shed_elsewhere_) shed_elsewhere_();
+void Server::on_accept_failed(net::error_code error) {
+  const bool aborted = error == boost::asio::error::connection_aborted;  // by the client: nothing is short
+  if (!aborted && !shed() && shed_elsewhere_) shed_elsewhere_();
   deadlines_.add(clock_() + kAcceptRest, [this] { listener_.accept(); });
 }
 
 // How much a connection is still good for. None of those asked about has a request that came whole.
 int Server::use(const Client& client, Time now) {
   if (client.state == State::kLingering) return 0;
-  if (client.spoke && !client.reader.started()) return 2;  // between two requests
-  if (now < client.since + kGrace) return 4;               // its request may be on its way
+  if (client.spoke && !client.reader.started()) return kResting;
+  if (now < client.since + kGrace) return 4;  // its request may be on its way
   return client.spoke ? 3 : 1;
 }
 
 // Room for a new client is made by the connection that is of least use, and among these by the oldest.
 // Hundreds that say nothing or never finish must not keep out those with something to ask.
-bool Server::shed(SlotId newcomer) {
+SlotId Server::least_useful(SlotId newcomer) {
   SlotId least;
   std::pair<int, Time> rank{5, Time{}};
   for (const SlotId id : clients_.ids()) {
@@ -76,10 +80,29 @@
     const bool more_is_here = client.state == State::kReading && client.connection->readable();
     if (!more_is_here) least = id, rank = here;
   }
+  return least;
+}
+
+bool Server::shed(SlotId newcomer) {
+  const SlotId least = least_useful(newcomer);
   if (least) drop(least);
   return static_cast<bool>(least);
 }
 
+// A request may be on its way on the connection that has to go. So it is closed in good order while there is
+// some room left, and at once only where there is none.
+void Server::make_room(SlotId newcomer) {
+  const std::size_t most = options_.most_clients, here = clients_.size();
+  if (here >= most) {
+    if (!shed(newcomer)) listener_.rest();
+  } else if (here + most / kEarlyRoom >= most) {
+    const SlotId least = least_useful(newcomer);
+    const Client* client = clients_.find(least);
+    if (client != nullptr && client->state == State::kReading && use(*client, clock_()) <= kResting)
+      cut(least);
+  }
+}
+
 // Keeps count of the bodies that wait here or behind the handler. False: with this one they are too much.
 bool Server::hold(Client& client, std::size_t bytes) {
   held_ += bytes - client.held;
@@ -95,10 +118,9 @@
     if (late == nullptr) return;
     late->limit = {};
     if (late->state == State::kAnswering) return gone(id);
-    if (late->state == State::kReading && late->reader.started()) {
-      return refuse(id, *late, 408, "the request did not come whole in time");
-    }
-    drop(id);
+    if (late->state == State::kLingering) return drop(id);
+    if (late->reader.started()) return refuse(id, *late, 408, "the request did not come whole in time");
+    cut(id);
   });
 }
 
@@ -132,17 +154,37 @@
     // A request that is already here, or on its way behind its connection, is still read and answered.
     if (client.state != State::kReading || client.reader.started() || client.connection->readable()) continue;
     if (!client.spoke && clock_() < client.since + kGrace) continue;
-    client.connection->output().empty() ? drop(id) : cut(id);
+    cut(id);
   }
 }
 
+void Server::stop_accepting() {
+  listener_.accept_pending();
+  listener_.close();
+}
+
+bool Server::present(SlotId id) {
+  Client* client = clients_.find(id);
+  return client != nullptr && client->state == State::kAnswering && !client->connection->ended();
+}
+
 // ---- requests ----
 
 void Server::on_data(SlotId id) {
   Client* client = clients_.find(id);
   if (client == nullptr) return;
   if (client->state == State::kLingering) return discard(*client);
-  if (client->state == State::kReading) next(id);
+  if (client->state == State::kReading) return next(id);
+  on_early(id, *client);
+}
+
+// What comes while an answer is owed waits in the buffer. Once that is full, the connection's end behind it
+// would not be seen: so it is thrown away from there on, and the answer is the connection's last.
+void Server::on_early(SlotId id, Client& client) {
+  if (client.connection->input().room() > 0) return;
+  client.keep = false;
+  discard(client);
+  if (client.discarded > kMostDiscarded) gone(id);
 }
 
 void Server::discard(Client& client) {
@@ -207,7 +249,9 @@
 
 void Server::on_sent(SlotId id) {
   Client* client = clients_.find(id);
-  if (client == nullptr || !client->waiting) return;
+  if (client == nullptr) return;
+  if (client->state == State::kLingering) return linger(id);
+  if (!client->waiting) return;
   if (client->connection->output().size() > kLow) return wait(id, options_.stall);
   client->waiting = false;
   deadlines_.drop(client->limit);
@@ -304,7 +348,7 @@
   client->since = clock_();
   hold(*client, 0);
   if (client->connection->input().empty()) {
-    if (clients_.size() >= options_.most_clients) shed();  // others may have been waiting for the room
+    if (clients_.size() >= options_.most_clients) make_room();  // others may have been waiting for it
     return;
   }
   client->connection->read();  // it may have stopped at a full buffer
@@ -315,19 +359,28 @@
   });
 }
 
+// The one way in which a connection ends from here, but for one whose peer is gone already: a lingering
+// close. What is queued is sent, then the end; what comes after is read and thrown away, never answered or
+// passed on, until the client closes too. A close over unread bytes would reset the connection and destroy
+// the answer on its way.
 void Server::cut(SlotId id) {
   Client* client = clients_.find(id);
-  if (client == nullptr) return;
+  if (client == nullptr || client->state == State::kLingering) return;
   client->state = State::kLingering;
   client->streaming = client->waiting = false;
-  // The client is given time to read what was sent: closing on unread input would destroy it on the way.
   client->connection->finish();
-  client->since = clock_();
   hold(*client, 0);
   client->reader.reset();
   discard(*client);
   client->connection->read();
-  wait(id, options_.linger);
+  linger(id);
+}
+
+// The time of a lingering close runs from the last byte that was sent: a slow reader gets all of its answer.
+void Server::linger(SlotId id) {
+  Client& client = *clients_.find(id);
+  client.since = clock_();
+  wait(id, client.connection->output().empty() ? options_.linger : options_.stall);
 }
 
 }  // namespace bitternferry::http
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -27,7 +27,7 @@
   Duration arrival = std::chrono::milliseconds(2500);
   Duration idle = std::chrono::seconds(60);          // a connection between requests is closed after this
   Duration stall = std::chrono::seconds(20);         // for a client to take more of its stream
-  Duration linger = std::chrono::milliseconds(500);  // for a client to close after the last answer
+  Duration linger = std::chrono::milliseconds(500);  // of a lingering close, from the last byte sent
   bool one_request = false;                          // each connection carries one, and ends with its answer
 };
 
@@ -56,10 +56,13 @@
   bool pass(SlotId client, std::string_view events);  // false: wait for on_room()
   void end(SlotId client);
   void cut(SlotId client);  // ends the connection with no last chunk
+  // Does the client whose answer is owed still stand there? Asks the kernel, past what was read.
+  bool present(SlotId client);
 
   // From now on each answer is its connection's last. Idle connections stay until close_idle().
   void drain() { draining_ = true; }
-  void stop_accepting() { listener_.close(); }
+  // Takes what the machine has accepted by now: closing over it would reset requests that were taken.
+  void stop_accepting();
   void close_idle();
   // Listens and accepts; throws where the address can't be had. May follow stop_accepting().
   void open(net::UniqueFd listening = {}) {
@@ -105,14 +108,18 @@
   void refuse(SlotId id, Client& client, int status, std::string_view what,
               std::initializer_list<Header> more = {});
   void too_much(SlotId id, Client& client);
+  void on_early(SlotId id, Client& client);
   static void discard(Client& client);
+  void linger(SlotId id);
   void next(SlotId id);
   void wait(SlotId id, Duration limit);
   void gone(SlotId id);
   void drop(SlotId id);
   bool hold(Client& client, std::size_t bytes);
   static int use(const Client& client, Time now);
+  SlotId least_useful(SlotId newcomer);
   bool shed(SlotId newcomer = {});
+  void make_room(SlotId newcomer = {});
 
   boost::asio::io_context& io_;
   Handler& handler_;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -72,13 +72,13 @@
   reading_ = true;
   socket_.async_read_some(in_.prepare(), [self = shared_from_this()](error_code error, std::size_t n) {
     self->reading_ = false;
+    self->in_.commit(error ? 0 : n);
     if (!self->open_) return;
     if (error == asio::error::operation_aborted) {  // hushed, and perhaps woken again since
       if (self->wanted_) self->read();
       return;
     }
     if (error) return self->fail(error);
-    self->in_.commit(n);
     self->owner_->on_data(self->id_);
     if (self->open_ && self->wanted_) self->read();
   });
@@ -110,14 +110,16 @@
     return;
   }
   writing_ = true;
-  socket_.async_write_some(out_.data(), [self = shared_from_this()](error_code error, std::size_t n) {
+  // What is written meanwhile may have the queue grow into other storage: the operation keeps this one.
+  const auto written = [self = shared_from_this(), held = out_.storage()](error_code error, std::size_t n) {
     self->writing_ = false;
     if (!self->open_) return;
     if (error) return self->fail(error);
     self->out_.consume(n);
     self->pump();
     self->owner_->on_sent(self->id_);
-  });
+  };
+  socket_.async_write_some(out_.data(), written);
 }
 
 void Connection::fail(error_code error) {
@@ -127,11 +129,20 @@
 
 bool Connection::stale() { return !open_ || !in_.empty() || readable(); }
 
-bool Connection::readable() {
+namespace {
+enum class Waiting { kNothing, kBytes, kEnd };
+Waiting peek(int socket) {
   char byte = 0;
-  const auto n = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+  const auto n = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (n > 0) return Waiting::kBytes;
+  return n == 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR) ? Waiting::kEnd
+                                                                               : Waiting::kNothing;
 }
+}  // namespace
+
+bool Connection::readable() { return peek(socket_.native_handle()) != Waiting::kNothing; }
+
+bool Connection::ended() { return !open_ || peek(socket_.native_handle()) == Waiting::kEnd; }
 
 void Connection::finish() {
   finishing_ = true;
@@ -184,6 +195,17 @@
   });
 }
 
+void Listener::accept_pending() {
+  error_code error;
+  if (!acceptor_.is_open()) return;
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) owner_.on_accepted(std::move(socket));
+  }
+}
+
 void Listener::close() {
   wanted_ = false;
   error_code ignored;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -56,6 +56,7 @@
   // Has the peer closed, or sent something that nobody asked for? Asks the kernel, past what was read.
   bool stale();
   bool readable();  // has more come, or the peer's end? Asks the kernel, past what was read
+  bool ended();     // has the peer's end come, with nothing before it that was not read?
   void finish();    // no more output after what is queued; the end is sent then
   void close();     // at once; the owner hears nothing more
 
@@ -84,6 +85,7 @@
   bool adopt(UniqueFd socket);
   int native() { return acceptor_.native_handle(); }
   void accept();
+  void accept_pending();  // hands out at once what waits to be accepted
   void rest() { wanted_ = false; }
   void close();
   bool is_open() const { return acceptor_.is_open(); }
--- /dev/null
+++ b/tests/dispatcher/endings_test.cpp
@@ -0,0 +1,253 @@
+// The ends of clients' connections: what is owed at that instant, and that nothing else is done. Each case
+// forces one crossing; docs/design/endings.md lists them.
+#include <sys/socket.h>
+
+#include <boost/asio/write.hpp>
+#include <string>
+
+#include "net/ring_buffer.hpp"
+#include "world.hpp"
+
+namespace bitternferry::testing {
+namespace {
+
+// A front that keeps its requests until the test answers them.
+struct Desk : private http::Server::Handler {
+  explicit Desk(Clockwork& work, const http::ServerOptions& options = {})
+      : server(work.io, loopback(), *this, work.deadlines, work.clock(), options, {}) {
+    server.open();
+  }
+  http::Server server;
+  std::vector<std::pair<SlotId, std::string>> asked;  // with their targets
+  std::vector<SlotId> gone;
+  bool at_once = false;  // answers each request from inside its call
+
+ private:
+  void on_request(SlotId client, http::Server::Request& request, core::Time) override {
+    asked.emplace_back(client, std::string(request.target()));
+    if (at_once) server.answer(client, 200, "text/plain", "ok");
+  }
+  void on_gone(SlotId client) override { gone.push_back(client); }
+  void on_room(SlotId) override {}
+  std::string error_body(int, std::string_view) override { return "{}"; }
+};
+
+std::string get(const std::string& target, std::size_t padding = 0) {
+  return "GET " + target + " HTTP/1.1\r\nHost: x\r\nX-Pad: " + std::string(padding, 'p') + "\r\n\r\n";
+}
+
+// ---- buffers under way ----
+
+std::string fill(net::RingBuffer& ring, const std::string& text) {  // as a read that ends just now
+  const auto space = ring.prepare();
+  std::string left = text;
+  for (const auto& piece : space) {
+    const std::size_t n = std::min(left.size(), piece.size());
+    std::copy_n(left.data(), n, static_cast<char*>(piece.data()));
+    left.erase(0, n);
+  }
+  ring.commit(text.size() - left.size());
+  return left;
+}
+
+TEST_CASE("what is read while the rest is consumed lands where it is looked for", "[endings]") {
+  net::RingBuffer ring(64 * 1024);
+  const std::size_t size = GENERATE(std::size_t{100}, std::size_t{6000});
+  for (std::string left(size, 'a'); !left.empty();) left = fill(ring, left);
+  const auto space = ring.prepare();  // a read is under way ...
+  ring.consume(size);                 // ... while all that came before is used up
+  REQUIRE(space[0].size() >= 2);
+  std::copy_n("bc", 2, static_cast<char*>(space[0].data()));
+  ring.commit(2);
+  CHECK(ring.text() == "bc");
+  ring.consume(2);
+  CHECK(ring.empty());
+  CHECK(ring.append("d"));
+  CHECK(ring.text() == "d");
+}
+
+TEST_CASE("what is being written stays where it is while more is queued", "[endings]") {
+  net::RingBuffer ring(64 * 1024);
+  ring.append(std::string(4000, 'a'));
+  const auto held = ring.storage();
+  const auto piece = ring.data()[0];  // a write is under way from here
+  ring.append(std::string(30000, 'b'));
+  CHECK(std::string(static_cast<const char*>(piece.data()), piece.size()) == std::string(4000, 'a'));
+  ring.consume(4000);
+  CHECK(ring.text() == std::string(30000, 'b'));
+}
+
+// join+brink, seeds 3 and 8: a dispatcher crashed (signal 11 in a copy from address nil below Server::next).
+// A client had sent several requests at once. The second was taken from the event loop while the next read
+// was under way into the buffer, which gave its memory back, or set its start anew.
+TEST_CASE("requests sent at once and one more behind them are each taken once, in order", "[endings]") {
+  Clockwork work;
+  Desk desk(work);
+  desk.at_once = true;
+  const std::size_t padding = GENERATE(std::size_t{0}, std::size_t{5000});
+  StandInClient client(work, desk.server.local());
+  client.send(get("/a", padding) + get("/b", padding));
+  REQUIRE(work.until([&] { return desk.asked.size() == 2; }));
+  work.settle();
+  client.send(get("/c", padding));
+  work.until([&] { return desk.asked.size() >= 3; });
+  work.settle();
+  REQUIRE(desk.asked.size() == 3);
+  CHECK(desk.asked[0].second == "/a");
+  CHECK(desk.asked[1].second == "/b");
+  CHECK(desk.asked[2].second == "/c");
+}
+
+TEST_CASE("a slow reader gets every byte of its stream as it was written", "[endings]") {
+  Clockwork work;
+  http::ServerOptions options;
+  options.linger = milliseconds(100);
+  Desk desk(work, options);
+  StandInClient client(work, desk.server.local());
+  client.hold_back();
+  client.send("GET /stream HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  REQUIRE(work.until([&] { return !desk.asked.empty(); }));
+  const SlotId id = desk.asked[0].first;
+  desk.server.begin(id);
+  std::string all;
+  bool more = true;
+  for (int i = 0; more && i < 20000; ++i) {
+    const std::string event =
+        "data: " + std::to_string(i) + std::string(3000, static_cast<char>('a' + i % 26));
+    all += event;
+    more = desk.server.pass(id, event);
+    if (i % 64 == 0) work.settle();
+  }
+  REQUIRE_FALSE(more);  // the machine's buffers are full: what follows waits here
+  for (int i = 0; i < 40; ++i) {
+    all += std::string(3000, static_cast<char>('A' + i % 26));
+    desk.server.pass(id, std::string(3000, static_cast<char>('A' + i % 26)));
+  }
+  desk.server.end(id);
+  work.advance(milliseconds(400));  // longer than a lingering close takes once all is sent
+  client.go_on();
+  REQUIRE(work.until([&] { return client.answered(); }));
+  CHECK(client.whole);
+  CHECK(client.body == all);
+}
+
+// ---- a close and a request that cross ----
+
+TEST_CASE("what comes after the connection was shut is never taken, and resets nothing", "[endings]") {
+  Clockwork work;
+  http::ServerOptions options;
+  options.idle = milliseconds(300);
+  Desk desk(work, options);
+  desk.at_once = true;
+  StandInClient client(work, desk.server.local());
+  client.send(get("/a"));
+  REQUIRE(work.until([&] { return client.whole; }));
+  SECTION("idle for too long") { work.now += milliseconds(301), work.deadlines.run(work.now); }
+  SECTION("closed as the process ends") {
+    desk.server.drain();
+    desk.server.stop_accepting();
+    desk.server.close_idle();
+  }
+  client.send(get("/b"));  // written before the end was seen
+  REQUIRE(work.until([&] { return client.ended; }));
+  CHECK(client.end == boost::asio::error::eof);  // no reset
+  CHECK(desk.asked.size() == 1);
+  client.close();
+  CHECK(work.until([&] { return desk.server.clients() == 0; }));
+}
+
+TEST_CASE("a connection that makes room is closed in good order while there is some left", "[endings]") {
+  Clockwork work;
+  http::ServerOptions options;
+  options.most_clients = 16;
+  Desk desk(work, options);
+  desk.at_once = true;
+  std::vector<std::unique_ptr<StandInClient>> clients;
+  for (int i = 0; i < 15; ++i) {
+    clients.push_back(std::make_unique<StandInClient>(work, desk.server.local()));
+    clients.back()->send(get("/" + std::to_string(i)));
+    REQUIRE(work.until([&] { return clients.back()->whole; }));
+    work.advance(milliseconds(20));
+  }
+  REQUIRE(work.until([&] { return clients[0]->ended; }));
+  CHECK(clients[0]->end == boost::asio::error::eof);
+  CHECK_FALSE(clients[14]->ended);
+  const std::size_t asked = desk.asked.size();
+  clients[0]->send(get("/late"));
+  work.settle();
+  CHECK(desk.asked.size() == asked);
+}
+
+// What the machine accepted has been taken: closing the listener over it would reset it.
+TEST_CASE("connections that wait to be accepted are served when accepting stops", "[endings]") {
+  Clockwork work;
+  Desk desk(work);
+  boost::asio::io_context blocking;
+  net::tcp::socket a(blocking), b(blocking);
+  a.connect(desk.server.local());
+  b.connect(desk.server.local());
+  boost::asio::write(a, boost::asio::buffer(get("/a")));
+  boost::asio::write(b, boost::asio::buffer(get("/b")));
+  desk.server.drain();
+  desk.server.stop_accepting();
+  desk.server.close_idle();
+  CHECK(work.until([&] { return desk.asked.size() == 2; }));
+}
+
+TEST_CASE("an error is read whole by a client that is still sending", "[endings]") {
+  Clockwork work;
+  Desk desk(work);
+  StandInClient client(work, desk.server.local());
+  client.send("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9000000\r\n\r\n" + std::string(200000, 'x'));
+  REQUIRE(work.until([&] { return client.answered(); }));
+  CHECK(client.status == 413);
+  CHECK(client.whole);
+  work.settle();
+  CHECK(desk.asked.empty());
+}
+
+// ---- the client's end ----
+
+TEST_CASE("the end of a client's connection is seen behind whatever it sent first", "[endings]") {
+  Clockwork work;
+  Desk desk(work);
+  StandInClient client(work, desk.server.local());
+  client.send(get("/a"));
+  REQUIRE(work.until([&] { return desk.asked.size() == 1; }));
+  REQUIRE(desk.server.present(desk.asked[0].first));
+  const std::size_t more = GENERATE(std::size_t{0}, std::size_t{100}, std::size_t{150000});
+  client.send(std::string(more, 'x'));
+  SECTION("by an end in good order") { client.half_close(); }
+  SECTION("by a reset") {
+    work.settle();
+    client.reset();
+  }
+  CHECK(work.until([&] { return desk.gone.size() == 1; }));
+  CHECK_FALSE(desk.server.present(desk.asked[0].first));
+}
+
+TEST_CASE("a client that floods its connection while an answer is owed is let go of", "[endings]") {
+  Clockwork work;
+  Desk desk(work);
+  StandInClient client(work, desk.server.local());
+  client.send(get("/a") + std::string(900000, 'x'));
+  CHECK(work.until([&] { return desk.gone.size() == 1; }));
+  CHECK(desk.server.clients() == 0);
+}
+
+TEST_CASE("bytes behind a request leave its answer whole, which is the connection's last", "[endings]") {
+  Clockwork work;
+  Desk desk(work);
+  StandInClient client(work, desk.server.local());
+  client.send(get("/a") + std::string(100000, 'x'));
+  REQUIRE(work.until([&] { return desk.asked.size() == 1; }));
+  work.settle();
+  desk.server.answer(desk.asked[0].first, 200, "text/plain", "ok");
+  REQUIRE(work.until([&] { return client.answered(); }));
+  CHECK(client.body == "ok");
+  CHECK(client.headers["Connection"] == "close");
+  CHECK(desk.asked.size() == 1);
+}
+
+}  // namespace
+}  // namespace bitternferry::testing
--- a/tests/dispatcher/world.cpp
+++ b/tests/dispatcher/world.cpp
@@ -1,5 +1,7 @@
 #include "world.hpp"
 
+#include <sys/socket.h>
+
 #include <algorithm>
 
 namespace bitternferry::testing {
@@ -97,6 +99,12 @@
        "\r\n\r\n" + text);
 }
 
+void StandInClient::reset() {
+  const linger at_once{1, 0};
+  ::setsockopt(connection_->copy().get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  connection_->close();
+}
+
 void StandInClient::on_connected(SlotId, net::error_code error) {
   if (error) return void(ended = true);
   connected_ = true;
--- a/tests/dispatcher/world.hpp
+++ b/tests/dispatcher/world.hpp
@@ -138,18 +138,22 @@
   }
   void close() { connection_->close(); }
   void hold_back() { connection_->pause(), held_back_ = true; }
+  void go_on() { held_back_ = false, connection_->read(); }
+  void half_close() { connection_->finish(); }  // sends its end after what it has sent, and goes on reading
+  void reset();                                 // closes so that the other side sees an error
 
   int status = 0;
   std::string body;
   std::map<std::string, std::string> headers;
   bool whole = false, ended = false;  // the answer came to its end; the connection did
+  net::error_code end;                // with which the connection ended
   bool answered() const { return whole || ended; }
 
  private:
   void on_connected(SlotId, net::error_code error) override;
   void on_data(SlotId) override;
   void on_sent(SlotId) override {}
-  void on_ended(SlotId, net::error_code) override { ended = true; }
+  void on_ended(SlotId, net::error_code error) override { ended = true, end = error; }
   std::shared_ptr<net::Connection> connection_;
   http::ResponseReader reader_{std::nullopt};
   std::string pending_;
