--- a/src/router.cpp
+++ b/src/router.cpp
@@ -81,7 +81,7 @@
 
 // What this router has sent to one reader: texts by key, least recently used first to go.
 struct PrefixIndex {
-  using Key = std::pair<bool, std::uint64_t>;  // shared text or session, and its number
+  using Key = std::pair<bool, std::uint64_t>;  // whether it is a shared text, and Pending's slot or text
   struct Entry {
     Key key;
     int tokens;
@@ -96,11 +96,12 @@
     return it == where.end() ? 0 : it->second->tokens;
   }
   void learn(const Key& key, int tokens, int own_tokens, std::size_t most_blocks) {
+    Entry entry{key, tokens / kBlockTokens * kBlockTokens, std::size_t(own_tokens / kBlockTokens) + 1};
+    if (covered(key) > entry.tokens) entry = *where[key];  // a shorter prompt takes nothing from it
     forget(key);
-    const auto blocks = static_cast<std::size_t>(own_tokens / kBlockTokens + 1);
-    order.push_front({key, tokens / kBlockTokens * kBlockTokens, blocks});
+    order.push_front(entry);
     where[key] = order.begin();
-    used += blocks;
+    used += entry.blocks;
     while (used > most_blocks && !order.empty()) forget(Key(order.back().key));
   }
   void forget(const Key& key) {
@@ -179,6 +180,7 @@
   int ran_cell = 0;
   std::vector<std::string> tried;  // hosts where an attempt of this request failed
   std::uint64_t slot = 0;          // the place of its text: see Impl::slot
+  std::uint64_t text = 0;          // its session's, which is another one after another beginning
   double work = 0;                 // expected start work of the attempt that is out, in tokens
   double to_read = 0;              // prompt tokens that it still has to read
   int predicted = 0;               // prompt tokens that the index credits the reader with
@@ -252,7 +254,7 @@
 
   // What a role's hosts show together: one router sees too little of each.
   struct Pool {
-    double ready = 0, ejected = 0, warm = 0, lag = 0, busy = 0, tokens = 0, memory = 0, reports = 0;
+    double ready = 0, ejected = 0, warm = 0, lag = 0, busy = 0, tokens = 0, memory = 0, reports = 0, sent = 0;
   };
   Pool pool(Role role) const {
     Pool p;
@@ -266,9 +268,9 @@
       p.tokens += 1000 * h.report.prompt_kilotokens.value_or(0);
       p.memory += h.report.memory_share.value_or(0);
       p.reports += h.report.prompt_kilotokens || h.report.memory_share ? 1 : 0;
+      p.sent += h.report.prompt_kilotokens ? h.tokens_since_report : 0;
     }
-    p.tokens /= std::max(1.0, p.reports);
-    p.memory /= std::max(1.0, p.reports);
+    for (double* sum : {&p.tokens, &p.sent, &p.memory}) *sum /= std::max(1.0, p.reports);
     return p;
   }
 
@@ -394,7 +396,8 @@
   // What a count of one is worth is told by how many texts were seen once and twice (absolute discounting):
   // where most are rare, a single request is no heat, and copies of rare texts push all else out (L2048df).
   std::uint64_t slot(const Pending& q) const {
-    if (q.r.shared_prefix == 0) return mix(q.r.session);
+    const auto number = static_cast<std::uint64_t>(s_->router_number);  // without a key routers go apart
+    if (q.r.shared_prefix == 0) return mix(q.r.session != 0 ? q.r.session : hash_text(q.r.id) ^ mix(number));
     const auto heat = heat_.find(q.r.shared_prefix);
     const double seen = heat == heat_.end() ? 0 : heat->second - heat_discount_;
     const double share = seen / std::max(heat_total_, kHeatMemory / 2);
@@ -416,7 +419,7 @@
   }
 
   int covered(const Host& h, const Pending& q) const {
-    const int session = q.r.session != 0 ? h.index.covered({false, q.r.session}) : 0;
+    const int session = q.r.session != 0 ? h.index.covered({false, q.text}) : 0;
     const int shared = q.r.shared_prefix != 0 ? h.index.covered({true, q.slot}) : 0;
     return std::min(std::max(session, std::min(shared, q.r.prefix_tokens)), q.r.prompt_tokens);
   }
@@ -426,9 +429,11 @@
     return mean + (value - mean) * std::exp2(-seconds(now_ - h.reported_at) / seconds(kReportFade));
   }
 
-  // Reported work plus our sends since, else our sends out. A slow or cold host has less to do it with.
+  // Reported work plus our sends since, else our sends out; never heard of, the average. A slow or cold host
+  // has less to do it with.
   double load(const Host& h, const Pool& p) const {
-    double tokens = h.read_tokens;
+    const bool unheard = h.tokens_since_report <= 0 && h.reported_at == Time{};
+    double tokens = unheard ? p.tokens + p.sent : h.read_tokens;
     if (const auto& told = h.report.prompt_kilotokens; told)
       tokens = reported(1000 * *told, p.tokens, h) + h.tokens_since_report;
     if (h.role == Role::kMixed) tokens += h.streams * kBaseTokens;
@@ -468,10 +473,9 @@
       if (!whole && q.spent + 2 > q.rules->max_attempts) continue;
       if (usable(h, q, whole)) candidates.push_back({&h, here, 0, 0});
     }
-    for (auto& [name, h] : hosts_) {
-      if (!s_->writers_read || !candidates.empty()) break;
-      if (h.role == Role::kWriter && usable(h, q, true)) candidates.push_back({&h, 0, 0, 0});
-    }
+    const bool none = s_->writers_read && candidates.empty();
+    for (auto& [name, h] : hosts_)
+      if (none && h.role == Role::kWriter && usable(h, q, true)) candidates.push_back({&h, 0, 0, 0});
     if (candidates.empty()) return nullptr;
     double least = 1e300, most = 0;
     for (Scored& c : candidates) {
@@ -585,7 +589,9 @@
     const bool cut = !s_->may_cancel && may_repeat(q, h);  // else watch() cancels, knowing more by then
     const Time until = cut ? now_ + patience(q, h) : q.r.client_deadline;
     const Time connect_by = q.state_held ? q.idle_since + q.rules->pin_limit : Time{};
-    act(Send{q.r.id, h.host, std::min(q.r.client_deadline, until), connect_by});
+    // That it timed out is heard up to a tick later, and is still to be answered within the slack then.
+    const Time latest = q.r.client_deadline - std::max(Duration(0), s_->tick - q.rules->answer_slack);
+    act(Send{q.r.id, h.host, std::min(latest, until), connect_by});
     h.read_tokens += q.to_read;
     h.tokens_since_report += q.to_read;
     (phase == Phase::kReading ? h.reads : h.streams) += 1;
@@ -598,10 +604,8 @@
     const std::size_t most =
         h.memory_tokens > 0 ? static_cast<std::size_t>(h.memory_tokens / kBlockTokens) : kIndexDefault;
     const bool shared = q.r.shared_prefix != 0;
-    if (q.r.session != 0) {
-      h.index.learn({false, q.r.session}, q.r.prompt_tokens,
-                    q.r.prompt_tokens - (shared ? q.r.prefix_tokens : 0), most);
-    }
+    const int own = q.r.prompt_tokens - (shared ? q.r.prefix_tokens : 0);
+    if (q.r.session != 0) h.index.learn({false, q.text}, q.r.prompt_tokens, own, most);
     if (shared) h.index.learn({true, q.slot}, q.r.prefix_tokens, q.r.prefix_tokens, most);
   }
 
@@ -650,8 +654,9 @@
     if (q.phase == Phase::kNeedsWriter) {
       Host* writer = choose_writer(q, Role::kWriter);
       if (writer == nullptr) writer = choose_writer(q, Role::kMixed);  // better than no answer
-      if (writer != nullptr) send(q, *writer, Phase::kWriting);        // else the tick tries again
-      return;
+      if (writer != nullptr) return send(q, *writer, Phase::kWriting);
+      // Else the tick tries again, unless it would come too late for what is held.
+      return now_ + look() > q.idle_since + q.rules->pin_limit ? give_up(q) : void();
     }
     Host* reader = choose_reader(q);
     if (reader == nullptr && !q.tried.empty()) {  // all were tried once: a second try is better than none
@@ -669,6 +674,11 @@
                                            [](const auto& e) { return e.second.role == Role::kMixed; });
   }
 
+  // How long the tick may be in coming.
+  Duration look() const {
+    const Duration tick = std::max(s_->tick, Duration(1));
+    return (kTickEvery + tick - Duration(1)) / tick * tick;
+  }
   Duration lead() const { return 2 * std::max(kTickEvery, s_->tick); }
 
   // How late first tokens come, as a share of their objectives: a mean over the last seconds that starts from
@@ -695,9 +705,9 @@
   // leaves before first tokens come now is work for nobody: such had half of all reads cut (iacc812).
   bool hopeless(const Pending& q) {
     note_lateness(0, 0);
+    while (!starts_.empty() && starts_.front() < now_ - kStartWindow) starts_.pop_front();
     if (q.r.client_deadline - now_ < scaled(q.objective(), kNoTime * lateness())) return true;
     if (lateness() < kLate) return false;
-    while (!starts_.empty() && starts_.front() < now_ - kStartWindow) starts_.pop_front();
     double waiting = -1;  // q is among them, and no line of its own
     for (const auto& [id, o] : requests_) {
       const bool stuck =
@@ -851,6 +861,7 @@
     q.over_share = over_share(r.tenant);
     warm_text(r.shared_prefix);
     q.slot = slot(q);
+    q.text = mix(r.session) ^ mix(mix(r.shared_prefix));
     hopeless(q) ? give_up(q) : route(q);
     settle(q);
   }
@@ -867,11 +878,10 @@
     q.phase = Phase::kStreaming;
     q.started = now_;
     const double took = seconds(q.read_time + f.elapsed);  // lost attempts are no queue
+    const double part = took / seconds(q.objective());
     starts_.push_back(now_);
-    while (starts_.front() < now_ - kStartWindow) starts_.pop_front();
-    note_lateness(took / seconds(q.objective()));
+    note_lateness(part);
     double& wait = q.read_time > Duration(0) ? wait_pair_ : wait_mixed_;
-    const double part = took / seconds(q.objective());
     wait += (wait > 0 ? kWaitGain : 1) * (part - wait);
     if (Host* h = find_host(q.host); h != nullptr) {
       h->read_tokens = std::max(0.0, h->read_tokens - q.to_read);
@@ -1003,11 +1013,7 @@
         q.late = true;
         note_lateness(kLateMost);
       }
-      if (q.out) {
-        watch(q);
-        continue;
-      }
-      pinned_too_long(q) ? give_up(q) : route(q);
+      q.out ? watch(q) : pinned_too_long(q) ? give_up(q) : route(q);
       settle(q);
     }
   }
