Frame discovery's objects by their braces, so that lists may come indented

Watch::take (src/discovery/watch.cpp) cuts at newlines, so each line of an indented object fails to parse and its news are lost.

JsonFramer cuts a stream into whole objects by depth of braces outside strings, takes white space between them, bounds the size of one object, and tells of anything else as bad. It is not used by the watch yet.

Tests: json_framer_test.cpp, 300 drawn streams at six indents, cut at random, with braces and escaped quotes in strings; noise between objects; the bound on one object.

--- /dev/null
+++ b/tests/dispatcher/json_framer_test.cpp
@@ -0,0 +1,87 @@
+// Objects cut out of a stream of bytes.
+#include "discovery/json_framer.hpp"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+
+namespace bitternferry::testing {
+namespace {
+
+using discovery::JsonFramer;
+using Json = nlohmann::json;
+
+std::vector<std::string> feed_in_cuts(JsonFramer& framer, const std::string& text, std::mt19937_64& random) {
+  std::vector<std::string> all;
+  for (std::size_t at = 0; at < text.size();) {
+    const std::size_t most = random() % 3 == 0 ? 1 : 40;
+    const std::size_t n = std::min<std::size_t>(1 + random() % most, text.size() - at);
+    for (auto& object : framer.feed(std::string_view(text).substr(at, n))) all.push_back(std::move(object));
+    at += n;
+  }
+  return all;
+}
+
+Json drawn_object(std::mt19937_64& random) {
+  static const std::vector<std::string> kTexts{"",      "{",     "}}{",  "\"",    "\\",
+                                               "\\\"}", "a\nb{", "[{\"", "\r\n\t"};
+  const auto text = [&] { return kTexts[random() % kTexts.size()]; };
+  Json object{{"seq", random() % 100}, {text() + "k", text()}, {"hosts", Json::array()}};
+  for (std::size_t i = random() % 4; i > 0; --i)
+    object["hosts"].push_back({{"host", text()}, {text(), {{"deep", Json::object()}}}});
+  return object;
+}
+
+TEST_CASE("objects are framed however they are indented, separated and cut", "[discovery][framer]") {
+  std::mt19937_64 random(11);
+  const std::vector<std::string> between{"", "\n", "\r\n", "\n\n", " \t\r\n\r\n", "\n \n"};
+  for (int round = 0; round < 300; ++round) {
+    JsonFramer framer;
+    std::vector<Json> sent;
+    std::string text = between[random() % between.size()];
+    for (std::size_t i = 1 + random() % 5; i > 0; --i) {
+      sent.push_back(drawn_object(random));
+      std::string one = sent.back().dump(static_cast<int>(random() % 6) - 1);
+      if (random() % 3 == 0) {  // line ends as other systems have them, which strings never hold raw
+        std::string other;
+        for (const char c : one) other += c == '\n' ? std::string("\r\n") : std::string(1, c);
+        one = other;
+      }
+      text += one + between[random() % between.size()];
+    }
+    std::vector<Json> got;
+    for (const std::string& object : feed_in_cuts(framer, text, random)) got.push_back(Json::parse(object));
+    REQUIRE(got == sent);
+    REQUIRE_FALSE(framer.bad());
+    REQUIRE_FALSE(framer.inside());
+  }
+}
+
+TEST_CASE("what is no object is bad, after the objects before it", "[discovery][framer]") {
+  for (const std::string& noise :
+       std::vector<std::string>{"x", "}", "]", "[1]", "null", "\"{}\"", ",", std::string(1, '\0')}) {
+    JsonFramer framer;
+    CHECK(framer.feed("{} \n{\"a\":{}}" + noise + "{}") == std::vector<std::string>{"{}", "{\"a\":{}}"});
+    CHECK(framer.bad());
+    CHECK(framer.feed("{}").empty());  // nobody knows where an object begins
+  }
+}
+
+TEST_CASE("an object is bounded, its length and not that of all of them", "[discovery][framer]") {
+  JsonFramer framer(32);
+  for (int i = 0; i < 100; ++i)
+    REQUIRE(framer
+                .feed(R"({"a":"0123456789012345678901"})"
+                      "\n")
+                .size() == 1);
+  CHECK_FALSE(framer.bad());
+  CHECK(framer.feed("{" + std::string(30, ' ')).empty());
+  CHECK_FALSE(framer.bad());
+  CHECK(framer.inside());
+  framer.feed("  ");
+  CHECK(framer.bad());
+}
+
+}  // namespace
+}  // namespace bitternferry::testing
