Keep a call out while discovery is silent, and bound every pause by the 6 s

A call that is out when discovery returns is answered in that instant (4 of 4 dispatchers); ours was not out. Lines at fault in src/discovery/watch.cpp: Watch::expect dropped a silent call after kQuiet, 2.5 s, Watch::again then paused 1 to 2 s (fleet::list_calls(300).first) after silence and resets too, and the pause after refusals grew to 32 s, past the 6 s after which a change counts as told. Watch::line skipped what it could not read and waited for the next whole list, and took changes older than seen.

Where lists are pushed, a call without an answer, or a watch that fell silent, is joined by a second one; the first to answer is the watch. After a reset or an end the next goes out within 5 ms; failures at once in a row back off from 20 to 250 ms. Where lists are asked for, there is one call at a time, with a pause by the fleet's size after each failure. - The limits stand in fleet/backoff.hpp, with static_asserts: silence 2.4 + spread 1.0 + call 2.2 = 5.6 s, object 2.5 + 1.0 + 2.2 = 5.7 s, longest pause 3.0 + call 2.2 = 5.2 s, of 6 s.

Its overbooked discovery, 50 ms a call also for those it refuses, can't be left by 300 dispatchers without pauses past the 6 s: they call again within 5 s, 60 a second at least, and it serves 20.

--- a/src/app/dispatcher.cpp
+++ b/src/app/dispatcher.cpp
@@ -99,7 +99,8 @@
       watch_(
           loop.io(), config.discovery, loop.deadlines(), loop.clock(), log,
           [this](const discovery::Servers& servers) { apply(servers); }, config.settings.router_count,
-          config.seed ^ 0x5bd1e995),
+          config.seed ^ 0x5bd1e995,
+          config.settings.list_by_asking ? discovery::Lists::kAskedFor : discovery::Lists::kPushed),
       bans_(shared_path(config, ".bans"), log),
       partner_(loop.io(), shared_path(config, ".sock"), loop.deadlines(), loop.clock(), log, *this),
       signals_(loop.io(), SIGTERM, SIGINT, SIGHUP) {
--- a/src/fleet/backoff.cpp
+++ b/src/fleet/backoff.cpp
@@ -22,11 +22,30 @@
   return Duration(std::max<long long>(1, std::llround(full * part)));
 }
 
-BackoffShape list_calls(int dispatchers) {
+namespace {
+Duration first_pause(int dispatchers, Duration most) {
   using std::chrono::milliseconds;
-  constexpr Duration kEach = milliseconds(20), kLeast = milliseconds(200), kFirst = milliseconds(2000);
-  const Duration first = std::clamp<Duration>(kEach * std::clamp(dispatchers, 1, 1000), kLeast, kFirst);
-  return {first, 16 * first, 2, 0.5};
+  constexpr Duration kEach = milliseconds(20), kLeast = milliseconds(200);
+  return std::clamp<Duration>(kEach * std::clamp(dispatchers, 1, 1000), kLeast, most);
+}
+}  // namespace
+
+BackoffShape list_calls(int dispatchers) {
+  return {first_pause(dispatchers, std::chrono::milliseconds(2000)), kLongestPause, 2, 0.5};
+}
+
+BackoffShape after_reset(int dispatchers) {
+  const Duration pause = list_calls(dispatchers).first;
+  return {pause, pause, 1, 0.5};
+}
+
+BackoffShape after_silence(int dispatchers) {
+  const Duration pause = first_pause(dispatchers, kSpread);
+  return {pause, pause, 1, 0.5};
+}
+
+BackoffShape against_spinning() {
+  return {std::chrono::milliseconds(20), std::chrono::milliseconds(250), 2, 0.5};
 }
 
 }  // namespace bitternferry::fleet
--- a/src/fleet/backoff.hpp
+++ b/src/fleet/backoff.hpp
@@ -32,12 +32,49 @@
   int failures_ = 0;
 };
 
-// For calls to discovery, one service of fixed capacity for a fleet of `dispatchers` (anything below 1: one).
-// Overbooked, it answers nobody: each call waits in line until it fails, and a fleet that comes again at once
-// keeps the line as long for good. So the first pause already spreads the fleet's calls, at 20 ms each, and
-// at most 2 s: together with a silent watch of 2.5 s it must end within the 6 s after which a drain counts as
-// told.
+// The times of calls to discovery. A change counts as told 6 s after discovery had it, so from whatever state
+// the calls are in, the next one that discovery answers must have been made and answered by then:
+//
+//   a watch fell silent:       kSilence    2.4 + kSpread 1.0 + kCallLimit 2.2 = 5.6 s
+//   an object never ended:     kObject     2.5 + kSpread 1.0 + kCallLimit 2.2 = 5.7 s
+//   a call got no answer:      kCallLimit  2.2 + kSpread 1.0 + kCallLimit 2.2 = 5.4 s
+//   calls refused or reset:    kLongestPause            3.0 + kCallLimit 2.2 = 5.2 s
+//   pushed, moved by SIGHUP:   kCallLimit  2.2, then the second call, of 4 s
+//
+// An overbooked discovery answers a call after 2 s and an open watch gets an empty line every 2 s: the limits
+// must lie above that, or the refusal is never read and a healthy watch is taken for a silent one.
+constexpr Duration kToldAfter = std::chrono::milliseconds(6000);
+constexpr Duration kToldAfterMove = std::chrono::milliseconds(4000);
+constexpr Duration kOverbookedWait = std::chrono::milliseconds(2000);
+constexpr Duration kEmptyLines = std::chrono::milliseconds(2000);
+
+constexpr Duration kCallLimit = std::chrono::milliseconds(2200);  // from its connect to its answer
+constexpr Duration kSilence = std::chrono::milliseconds(2400);    // of a watch, from its last byte
+constexpr Duration kObject = std::chrono::milliseconds(2500);     // from an object's first byte to its last
+constexpr Duration kSpread = std::chrono::milliseconds(1000);     // longest pause after silence
+constexpr Duration kLongestPause = std::chrono::milliseconds(3000);  // after refusals
+constexpr Duration kMargin = std::chrono::milliseconds(250);         // the machine's own delays
+
+static_assert(kCallLimit >= kOverbookedWait + std::chrono::milliseconds(100));
+static_assert(kSilence >= kEmptyLines + std::chrono::milliseconds(100));
+static_assert(kSilence + kSpread + kCallLimit + kMargin < kToldAfter);
+static_assert(kObject + kSpread + kCallLimit + kMargin < kToldAfter);
+static_assert(kCallLimit + kSpread + kCallLimit + kMargin < kToldAfter);
+static_assert(kLongestPause + kCallLimit + kMargin < kToldAfter);
+static_assert(kCallLimit + kSpread + kMargin < kToldAfterMove);
+
+// After refusals by discovery, one service of fixed capacity for a fleet of `dispatchers` (anything below 1:
+// one). Overbooked, it answers nobody: each call waits in line until it fails, and a fleet that comes again
+// at once keeps the line as long for good. So the first pause already spreads the fleet's calls, at 20 ms
+// each.
 BackoffShape list_calls(int dispatchers);
+// Between calls to a discovery that is shared, after a reset: by the fleet's size too, but with no growth, as
+// what could not be reached was not overbooked.
+BackoffShape after_reset(int dispatchers);
+// The same after silence, of which kSilence or kCallLimit has passed already.
+BackoffShape after_silence(int dispatchers);
+// Between calls that cost nobody anything, and fail at once several times in a row.
+BackoffShape against_spinning();
 
 }  // namespace bitternferry::fleet
 
