Open no call to discovery before the watch is started

Seen in reading: where lists are asked for, the list that the configuration knows has the module subscribe (router.cpp, Impl::handle), which comes to Watch::restart before Dispatcher::serve calls start. That made a connection to the shared discovery, which start then replaced.

Change: restart and move before start open nothing; start asks, after a move for the whole list.

Tests: "a restart before the start makes no call of its own" fails without it (2 connections, 1 expected).

--- a/src/discovery/call_plan.hpp
+++ b/src/discovery/call_plan.hpp
@@ -47,6 +47,7 @@
   void heard(CallId id, Time now, std::optional<Time> object_since);
 
   std::optional<Time> next() const;
+  bool started() const { return started_; }
   std::size_t calls() const { return calls_.size(); }
 
  private:
--- a/src/discovery/watch.cpp
+++ b/src/discovery/watch.cpp
@@ -31,12 +31,15 @@
   obey(plan_.restart(clock_()));
 }
 
-void Watch::restart() { obey(plan_.restart(clock_())); }
+// Before start() the first lists, read from files, may lead here already: there is no watch yet.
+void Watch::restart() {
+  if (plan_.started()) obey(plan_.restart(clock_()));
+}
 
 void Watch::move(const net::tcp::endpoint& at) {
   at_ = at;
   whole_ = true;
-  obey(plan_.move(clock_()));
+  if (plan_.started()) obey(plan_.move(clock_()));
 }
 
 void Watch::obey(const CallPlan::Orders& orders) {
--- a/src/discovery/watch.hpp
+++ b/src/discovery/watch.hpp
@@ -31,9 +31,9 @@
   ~Watch() override;
   // Opens the watch for what came after `seq`.
   void start(std::uint64_t seq);
-  void restart();
+  void restart();  // opens it again at once; nothing before start()
   // Follows another address from now on. What was seen so far was the old one's, so the new one's whole list
-  // is taken first. The list that was told last serves until then.
+  // is taken first. The list that was told last serves until then. Before start() it opens nothing.
   void move(const net::tcp::endpoint& at);
   std::uint64_t seq() const { return seq_; }
   std::optional<core::Time> heard() const { return heard_; }  // when discovery last said anything
--- a/tests/dispatcher/call_plan_test.cpp
+++ b/tests/dispatcher/call_plan_test.cpp
@@ -312,6 +312,39 @@
   }
 }
 
+// An outage of refusals, each after 2 s, that ends round the end of one of our pauses.
+TEST_CASE("discovery back just before, at and just after the end of a pause is heard in time",
+          "[discovery][plan]") {
+  for (const Lists lists : {Lists::kPushed, Lists::kAskedFor}) {
+    for (const int refusals : {1, 2, 3, 8}) {
+      for (const core::Duration off : {milliseconds(-1), milliseconds(0), milliseconds(1)}) {
+        CallPlan plan(lists, 300);
+        core::Time now = seconds(50), pause{};
+        CallId id = plan.restart(now).open;
+        for (int i = 0; i < refusals; ++i) {
+          now += fleet::kOverbookedWait;
+          plan.refused(id, now, 1.0);
+          pause = *plan.next() - now;
+          now = *plan.next();
+          id = plan.tick(now, 1.0).open;
+          REQUIRE(id != 0);
+        }
+        CHECK(pause <= fleet::kLongestPause);
+        // Back after the pause's end, discovery knows nothing of the call, which stays silent.
+        const core::Time back = now + off;
+        if (off > core::Duration(0)) {
+          for (id = 0; id == 0;) {
+            REQUIRE(plan.next());
+            now = *plan.next();
+            id = plan.tick(now, 1.0).open;
+          }
+        }
+        CHECK(now + milliseconds(2100) - back < seconds(6) - fleet::kMargin);
+      }
+    }
+  }
+}
+
 TEST_CASE("an object that stalls ends its call, and the whole list is owed", "[discovery][plan]") {
   for (const Lists lists : {Lists::kPushed, Lists::kAskedFor}) {
     CallPlan plan(lists, 3);
--- a/tests/dispatcher/watch_test.cpp
+++ b/tests/dispatcher/watch_test.cpp
@@ -450,6 +450,32 @@
   }
 }
 
+TEST_CASE("a restart before the start makes no call of its own", "[discovery][watch]") {
+  Clockwork work;
+  Agent agent(work);
+  Follower follower(work, agent, 300, discovery::Lists::kAskedFor);
+  follower.watch.restart();  // as when the list that the configuration knows has the module subscribe
+  follower.watch.start(40);
+  REQUIRE(work.until([&] { return agent.asked() == 1; }));
+  work.settle();
+  CHECK(agent.calls.size() == 1);
+  CHECK(agent.last_asked() == "/v1/servers?follow=1&since=40");
+}
+
+TEST_CASE("a move before the start has the start ask the new address for its whole list",
+          "[discovery][watch]") {
+  Clockwork work;
+  Agent old(work), agent(work);
+  Follower follower(work, old);
+  follower.watch.move(agent.address());
+  follower.watch.start(40);
+  REQUIRE(work.until([&] { return agent.asked() == 1; }));
+  work.settle();
+  CHECK(agent.calls.size() == 1);
+  CHECK(agent.last_asked() == "/v1/servers");
+  CHECK(old.calls.empty());
+}
+
 TEST_CASE("a list that leads to a restart ends its call, and what came with it is not read",
           "[discovery][watch]") {
   Clockwork work;
