Requests keep their end-to-end headers, and keyed repeats come inside their window

Change: a platform request's headers pass on as RFC 9110 (7.6.1) has a proxy forward them; a keyed repeat's connection has to be there within the window, which is over at its end, not after it.

--- a/src/chat/front.cpp
+++ b/src/chat/front.cpp
@@ -109,7 +109,7 @@
   message->id = r.id;
   message->method = "POST";
   message->target = kCompletions;
-  message->content_type = "application/json";
+  message->headers = "Content-Type: application/json\r\n";
   message->body = std::move(chat.body);
   const std::int64_t created = clock_().count() / 1'000'000;
   exchanges_.emplace(
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -29,7 +29,7 @@
 
 // What passes on to a replica. The core reads nothing of it.
 struct Message {
-  std::string id, method, target, content_type, body;
+  std::string id, method, target, headers, body;  // headers: whole lines, each with its end
 };
 
 struct AttemptId {
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,10 +1,36 @@
 #include "http/message.hpp"
 
+#include <algorithm>
+#include <boost/beast/http/rfc7230.hpp>
 #include <chrono>
 #include <cstdio>
 
 namespace bitternferry::http {
 
+namespace {
+bool same(std::string_view a, std::string_view b) {
+  return boost::beast::iequals({a.data(), a.size()}, {b.data(), b.size()});
+}
+constexpr std::string_view kOfOneConnection[] = {
+    "Connection",         "Proxy-Connection",    "Keep-Alive", "TE",   "Trailer", "Transfer-Encoding",
+    "Proxy-Authenticate", "Proxy-Authorization", "Upgrade",    "Host", "Expect",  "Content-Length"};
+}  // namespace
+
+std::string end_to_end(const beast_http::fields& fields, std::initializer_list<std::string_view> ours) {
+  const auto connection = fields[beast_http::field::connection];
+  const beast_http::token_list named(connection);
+  std::string lines;
+  for (const auto& field : fields) {
+    const std::string_view name{field.name_string().data(), field.name_string().size()};
+    const auto is_name = [&](const auto& other) { return same(name, {other.data(), other.size()}); };
+    if (std::any_of(std::begin(kOfOneConnection), std::end(kOfOneConnection), is_name)) continue;
+    if (std::any_of(ours.begin(), ours.end(), is_name)) continue;
+    if (std::any_of(named.begin(), named.end(), is_name)) continue;
+    lines.append(name).append(": ").append(field.value().data(), field.value().size()).append("\r\n");
+  }
+  return lines;
+}
+
 std::string_view reason(int status) {
   const auto text = beast_http::obsolete_reason(static_cast<beast_http::status>(status));
   return {text.data(), text.size()};
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -141,6 +141,10 @@
   std::string_view name;
   std::string value;
 };
+// The lines of a request's fields that belong to the whole way to the server, as RFC 9110 (7.6.1) has a proxy
+// forward them: all but those of one connection, those of the body's framing and `ours`, which this side
+// writes.
+std::string end_to_end(const beast_http::fields& fields, std::initializer_list<std::string_view> ours);
 std::string_view reason(int status);
 // A whole answer with a length.
 std::string response(int status, std::string_view content_type, std::string_view body, bool keep_alive,
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -105,7 +105,7 @@
   message->id = r.id;
   message->method.assign(request.method_string().data(), request.method_string().size());
   message->target.assign(request.target().data(), request.target().size());
-  message->content_type = http::header(request, "Content-Type");
+  message->headers = http::end_to_end(request, {"X-Correlation-Id", "X-Time-Left-Ms"});
   message->body = std::move(request.body());
   submit(client, r, std::move(message));
 }
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -47,7 +47,7 @@
 std::string request_text(const core::Message& m, Duration left) {
   std::string text = request_head(m.method, m.target);
   text += "X-Correlation-Id: " + m.id + "\r\nX-Time-Left-Ms: " + std::to_string(left.count() / 1000) + "\r\n";
-  if (!m.content_type.empty()) text += "Content-Type: " + m.content_type + "\r\n";
+  text += m.headers;
   text += "Content-Length: " + std::to_string(m.body.size()) + "\r\n\r\n";
   return text + m.body;
 }
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -326,6 +326,9 @@
     const double expected = norm.mean * q.work * (kPatience + kPatienceDev * norm.dev);
     return std::max(Duration(std::llround(expected)), scaled(q.objective(), kPatienceFloor));
   }
+  // May an effect have taken place, whose repeats are discarded for a while only, from the first send?
+  bool bound_to_window(const Pending& q) const { return q.maybe_ran && q.cls->repeat == Repeat::kKeyed; }
+  Time window_end(const Pending& q) const { return q.ran_sent + q.cls->window; }
   bool may_repeat(const Pending& q, const Host& h) const {
     return q.spent < q.rules->max_attempts && (h.role == Role::kReader || q.cls->repeat == Repeat::kSafe);
   }
@@ -383,8 +386,8 @@
       if (whole && q.cls->repeat != Repeat::kSafe) return false;
     }
     // Keyed: only where repeats are discarded, while they are remembered.
-    if (whole && q.maybe_ran && q.cls->repeat == Repeat::kKeyed) {
-      if (now_ > q.ran_sent + q.cls->window) return false;
+    if (whole && bound_to_window(q)) {
+      if (now_ >= window_end(q)) return false;
       if (q.cls->group == Group::kZone && h.zone != q.ran_zone) return false;
       if (q.cls->group == Group::kCell && (h.zone != q.ran_zone || h.cell != q.ran_cell)) return false;
     }
@@ -588,7 +591,10 @@
     ++q.spent;                                             // of the attempts that it may have
     const bool cut = !s_->may_cancel && may_repeat(q, h);  // else watch() cancels, knowing more by then
     const Time until = cut ? now_ + patience(q, h) : q.r.client_deadline;
-    const Time connect_by = q.state_held ? q.idle_since + q.rules->pin_limit : Time{};
+    Time connect_by = q.state_held ? q.idle_since + q.rules->pin_limit : Time{};
+    // A repeat counts when it comes, not when it is decided on: one whose connection is late came outside.
+    if (bound_to_window(q) && h.role != Role::kReader)
+      connect_by = connect_by == Time{} ? window_end(q) : std::min(connect_by, window_end(q));
     // That it timed out is heard up to a tick later, and is still to be answered within the slack then.
     const Time latest = q.r.client_deadline - std::max(Duration(0), s_->tick - q.rules->answer_slack);
     act(Send{q.r.id, h.host, std::min(latest, until), connect_by});
--- a/tests/dispatcher/platform_test.cpp
+++ b/tests/dispatcher/platform_test.cpp
@@ -34,6 +34,30 @@
   CHECK(seen.body == kBody);
 }
 
+// A class of effect `keyed` has its clients send a key with each request, by which replicas know a repeat: a
+// request without it is not as its client sent it (both trial sites: every day void).
+TEST_CASE("what a client's request says for the whole way reaches the replica", "[platform]") {
+  World world(read_well, write_well);
+  auto client = world.platform_client();
+  client->post(facts("a1", "ask") +
+                   "Idempotency-Key: 10e3c7f4\r\nIDEMPOTENCY-NOTE: a, b\r\nContent-Type: application/json\r\n"
+                   "Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\nKeep-Alive: 5\r\n",
+               kBody);
+  REQUIRE(world.until([&] { return client->whole; }));
+  for (const bool writers : {false, true}) {
+    REQUIRE(world.total("POST", writers, "a1") == 1);
+    const auto& seen = world.only("POST", writers).head;
+    CHECK(http::header(seen, "Idempotency-Key") == "10e3c7f4");
+    CHECK(http::header(seen, "Idempotency-Note") == "a, b");
+    CHECK(http::header(seen, "Content-Type") == "application/json");
+    CHECK(seen.count("X-Correlation-Id") == 1);
+    CHECK(seen.count("X-Time-Left-Ms") == 1);
+    CHECK(seen.count("Host") == 1);
+    CHECK(seen.count("Content-Length") == 1);
+    for (const char* name : {"Connection", "X-Hop", "TE", "Keep-Alive"}) CHECK(seen.count(name) == 0);
+  }
+}
+
 TEST_CASE("what is not a request is answered and reaches no replica", "[platform]") {
   World world(read_well, write_well);
   const auto status = [&](const std::string& bytes) {
--- a/tests/dispatcher/world.cpp
+++ b/tests/dispatcher/world.cpp
@@ -43,7 +43,7 @@
 void StandInReplica::on_request(SlotId client, http::Server::Request& request, core::Time) {
   const auto text = [](const auto& view) { return std::string(view.data(), view.size()); };
   seen.push_back({text(request.method_string()), text(request.target()),
-                  std::string(http::header(request, "X-Correlation-Id")), request.body()});
+                  std::string(http::header(request, "X-Correlation-Id")), request.body(), request});
   const Seen now = seen.back();
   if (now.method == "DELETE") return server.answer(client, 204, {}, {});
   waiting.push_back(client);
@@ -156,6 +156,17 @@
   return replicas[first]->count(method, id) + replicas[first + 1]->count(method, id);
 }
 
+const StandInReplica::Seen& World::only(std::string_view method, bool writers) const {
+  const StandInReplica::Seen* found = nullptr;
+  for (std::size_t i = 0; i < 2; ++i) {
+    for (const auto& seen : replicas[(writers ? 2 : 0) + i]->seen) {
+      if (seen.method == method) found = &seen;
+    }
+  }
+  if (found == nullptr) throw std::logic_error("no such request");
+  return *found;
+}
+
 std::string facts(const std::string& id, const std::string& cls, int left_ms) {
   return "X-Correlation-Id: " + id + "\r\nX-Service-Class: " + cls +
          "\r\nX-Account: acme\r\nX-Session-Key: 7f\r\nX-Time-Left-Ms: " + std::to_string(left_ms) +
--- a/tests/dispatcher/world.hpp
+++ b/tests/dispatcher/world.hpp
@@ -69,6 +69,7 @@
  public:
   struct Seen {
     std::string method, target, id, body;
+    boost::beast::http::fields head = {};
   };
   using Script = std::function<void(StandInReplica&, SlotId, const Seen&)>;
   StandInReplica(Clockwork& work, Script script, const http::ServerOptions& options = {})
@@ -169,6 +170,7 @@
   StandInReplica& reader(std::size_t i = 0) { return *replicas[i]; }
   StandInReplica& writer(std::size_t i = 0) { return *replicas[2 + i]; }
   int total(std::string_view method, bool writers, std::string_view id = {}) const;
+  const StandInReplica::Seen& only(std::string_view method, bool writers) const;  // the one such request
   std::unique_ptr<StandInClient> platform_client() { return client(platform.server().local()); }
   std::unique_ptr<StandInClient> chat_client() { return client(chat->server().local()); }
   std::unique_ptr<StandInClient> client(const net::tcp::endpoint& to) {
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -73,6 +73,28 @@
   EXPECT_EQ(h.failed, std::vector<std::string>{"a"});
 }
 
+// kestrel-dispatch, split+brink: repeats that were decided on in the window came after it, by the time that
+// their connections took. A repeat says by when it must be on its way.
+TEST(Effects, KeyedRepeatsWaitForNoConnectionPastTheirWindow) {
+  for (const char* cls : {"keyed", "keyed-all"}) {
+    Harness h;
+    h.list(fleet());
+    h.ask("a", cls);
+    h.end("a", Verdict::kRead);
+    const Time first = h.now;
+    h.now += milliseconds(4900);  // a held state alone may wait for 300 ms more
+    h.end("a", Verdict::kReset);
+    ASSERT_TRUE(h.out["a"].starts_with("w"));
+    EXPECT_NE(h.sends.back().connect_by, Time{});
+    EXPECT_LE(h.sends.back().connect_by, first + seconds(5));
+    h.now = first + seconds(5);  // what is over just now would come too late
+    h.end("a", Verdict::kConnectFailed);
+    h.run(milliseconds(300));
+    EXPECT_EQ(h.out["a"], "");
+    EXPECT_EQ(h.failed.size() + h.refused.size(), 1U);
+  }
+}
+
 TEST(Effects, KeyedByAllMayBeRefused) {
   Settings s = make_settings();
   s.max_attempts = 2;
--- a/tests/settings_world.cpp
+++ b/tests/settings_world.cpp
@@ -151,12 +151,14 @@
 
 // For an unsafe class any earlier attempt must be proven never to have run. For a keyed one, what goes on
 // after one that may have run, or is out, goes where it is known again, while it is remembered.
-void World::check_effect(const Open& q, const Known& to) const {
+void World::check_effect(const Open& q, const Known& to, const Send& send) const {
   for (const Attempt& a : q.attempts) {
     if (a.reading || !(a.out || a.may_have_run)) continue;
     check(q.cls.repeat != Repeat::kUnsafe, "unsafe: sent after an attempt that may have run");
     if (q.cls.repeat != Repeat::kKeyed || to.role == Role::kReader) continue;
     check(now_ - a.sent <= q.cls.window, "keyed: sent after the window of an attempt that may have run");
+    check(send.connect_by != Time{} && send.connect_by <= a.sent + q.cls.window,
+          "keyed: may wait for a connection past the window of an attempt that may have run");
     const HostEntry& ran = hosts_.at(a.host).entry;
     const bool zone = ran.zone == to.entry.zone;
     check(q.cls.group == Group::kAll || zone, "keyed: sent outside the group");
@@ -179,7 +181,7 @@
   const auto free =
       std::count_if(q.attempts.begin(), q.attempts.end(), [](const Attempt& a) { return a.free; });
   check(static_cast<int>(q.attempts.size()) - free < q.rules->max_attempts, "more attempts than allowed");
-  check_effect(q, to);
+  check_effect(q, to, send);
   Attempt a;
   a.host = send.host;
   a.reading = to.role == Role::kReader;
--- a/tests/settings_world.hpp
+++ b/tests/settings_world.hpp
@@ -78,7 +78,7 @@
   void carry_out(const Log&) {}
   Open& owed(const std::string& id, const char* what);
   void check_answer(Open& q, const char* what);
-  void check_effect(const Open& q, const Known& to) const;
+  void check_effect(const Open& q, const Known& to, const Send& send) const;
   bool proven_harmless(const Open& q) const;
 
   void ask(const Step& step);
