Slow start of cold replicas holds the settings' bound over all processes, and rises

Budgets count results of warm hosts only, each over the hosts warm at its time, and grow from nothing over the first window of a restarted process. A writer's draws are weighed by the part of reads that its cell does, so that their sum is that of the whole role. Capacity grows linearly from cold_share to 1 over cold_time in the budget, the draw and power().

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -10,6 +10,7 @@
 #include <set>
 #include <utility>
 
+#include "fleet/slow_start.hpp"
 #include "settings/check.hpp"
 
 namespace basaltvane {
@@ -50,7 +51,6 @@
 constexpr double kMoveQuiet = 0.5;        // of an objective, in silence: a hung writer's streams move
 constexpr Duration kFullFor = Ms(300);    // rest of a full host
 constexpr Duration kKeyRest = Ms(20000);  // ... for a class and tenant that it turned away
-constexpr double kColdCare = 0.6;         // part of the cold budget taken: the others may send more than we
 constexpr double kOpenTurn = 0.3;         // added to the score of a cold reader that is open to the request
 constexpr Duration kTickEvery = Ms(20), kRateWindow = Ms(8000);  // of own results of warm hosts
 constexpr double kPinCare = 0.7;  // of the pin limit after which a state gets no other try
@@ -136,8 +136,8 @@
 };
 
 struct Host : HostEntry, Standing {
-  double near = 1;   // part of what a reader reads that is written close to it: see place_hosts
-  double peers = 1;  // ready writers of its cell, for a writer
+  double near = 1;        // part of what a reader reads that is written close to it: see place_hosts
+  double reads_near = 1;  // part of all readers that is in its cell
   PrefixIndex index;
   double read_tokens = 0;  // prompt tokens of own attempts still to be read there
   LoadReport report;
@@ -155,8 +155,8 @@
   bool awaited() const { return reads + streams > begun; }  // an own attempt there has shown nothing yet
 };
 
-struct Place {                                         // a cell, a zone or all: what it has of each
-  double readers = 0, writers = 0, ready_writers = 0;  // by weight, and counted
+struct Place {                      // a cell, a zone or all: what it has of each
+  double readers = 0, writers = 0;  // by weight
   double near(const Place& all) const {
     return std::min(1.0, writers * all.readers / std::max(readers * all.writers, 1e-9));
   }
@@ -293,7 +293,7 @@
   void note_success(Host& h, double ratio) {
     const auto role = ix(h.role);
     h.last_alive = now_;
-    served_[role].push_back(now_);
+    if (!cold(h)) served_[role].emplace_back(now_, 1 / std::max(1.0, warm_[role]));
     fails_[role] *= 1 - kNormGain;
     h.doubt /= 2;
     h.hung = false;
@@ -330,42 +330,36 @@
 
   // ---- cold hosts ----
 
-  bool cold(const Host& h) const {
-    const Time since = std::max(h.started, h.back);
-    return since != Time{} && now_ < since + s_->cold_time;
-  }
-  double power(const Host& h) const { return cold(h) ? std::max(0.1, s_->cold_share) : 1.0; }
-
-  // Our part of the tip budget: what a warm peer has done for us is our part of what a warm host can do. Only
-  // results count: a storm of full answers must not raise it (ic21194). Below one request in a window each
-  // request draws the cold hosts that are open to it, at a fair part of all, since 150 routers sending "just
-  // one" broke the rule (ia523c0). Turns of a router went unused by its few requests: the warm hosts jammed.
-  bool by_turns(const Host& h) const { return cold(h) && cold_budget_[ix(h.role)] < 1; }
+  static Time since(const Host& h) { return std::max(h.started, h.back); }
+  bool cold(const Host& h) const { return since(h) != Time{} && now_ < since(h) + s_->cold_time; }
+  double warmth(const Host& h) const { return cold(h) ? slow_start::warmth(*s_, now_ - since(h)) : 1; }
+  double power(const Host& h) const { return std::max(0.1, warmth(h)); }
+  double budget(const Host& h) const { return slow_start::budget(*s_, warmth(h), warm_rate_[ix(h.role)]); }
+  bool by_turns(const Host& h) const { return cold(h) && budget(h) < 1; }
   bool cold_allows(const Host& h, const Pending& q) const {
     if (!cold(h)) return true;
     const auto used =
         std::count_if(h.sends.begin(), h.sends.end(), [&](Time t) { return t > now_ - s_->tip_window; });
-    if (!by_turns(h)) return static_cast<double>(used) < std::round(cold_budget_[ix(h.role)]);
-    const double warmed = seconds(now_ - std::max(h.started, h.back)) / seconds(s_->cold_time);
+    if (!by_turns(h)) return static_cast<double>(used) < std::round(budget(h));
+    double open = slow_start::draw(*s_, warmth(h), ready_[ix(h.role)]);
     const auto reader = h.role == Role::kWriter ? hosts_.find(q.reader) : hosts_.end();
-    const bool near = reader != hosts_.end() && same_cell(h, reader->second);
-    const double fair = std::min(1.0, kColdCare * s_->tip_multiple * std::lerp(s_->cold_share, 1.0, warmed)) /
-                        (near ? h.peers : ready_[ix(h.role)]);
+    if (reader != hosts_.end()) open *= slow_start::draw_by_cell(same_cell(h, reader->second), h.reads_near);
     const auto window = static_cast<std::uint64_t>(now_ / std::max(s_->tip_window, Duration(1)));
-    return used < 1 && unit(mix(h.hash ^ mix(window)) ^ hash_text(q.r.id)) < fair;
+    return used < 1 && unit(mix(h.hash ^ mix(window)) ^ hash_text(q.r.id)) < open;
   }
 
-  // Results a second that a warm host of each role gives us; without one left, what the last ones gave.
+  // Results a second that a warm host of each role gives us: each over as many as there were then.
   void count_warm() {
     for (std::size_t role = 0; role < served_.size(); ++role) {
-      std::deque<Time>& served = served_[role];
-      while (!served.empty() && served.front() < now_ - kRateWindow) served.pop_front();
+      auto& served = served_[role];
+      while (!served.empty() && served.front().first < now_ - kRateWindow) served.pop_front();
       const Pool p = pool(static_cast<Role>(role));
       ready_[role] = p.ready;
-      const double span = std::min(seconds(kRateWindow), seconds(now_ - born_));
-      if (p.warm <= 0) continue;
-      cold_budget_[role] = kColdCare * s_->tip_multiple * s_->cold_share * seconds(s_->tip_window) *
-                           static_cast<double>(served.size()) / p.warm / std::max(span, 1.0);
+      if (p.warm <= 0) continue;  // what the last ones gave
+      warm_[role] = p.warm;
+      warm_rate_[role] = 0;
+      const Duration span = std::max(s_->tip_window, std::min(kRateWindow, now_ - born_));
+      for (const auto& [at, part] : served) warm_rate_[role] += part / std::max(seconds(span), 1.0);
     }
   }
 
@@ -772,7 +766,8 @@
     for (std::size_t role = 0; role < served_.size(); ++role) {
       static_cast<Average&>(start_norms_[role]) = k.starts[role];
       for (int i = k.served[role]; i > 0; --i)
-        served_[role].push_front(now_ - scaled(kRateWindow, double(k.served[role] - i) / k.served[role]));
+        served_[role].emplace_front(now_ - scaled(kRateWindow, double(k.served[role] - i) / k.served[role]),
+                                    1 / std::max(1.0, warm_[role]));
     }
     born_ = std::min(born_, k.since);
     for (const Knowledge::OfHost& of : k.hosts) {
@@ -825,13 +820,12 @@
     Place all;
     for (const auto& [name, h] : hosts_) {
       if (h.state != HostState::kReady || h.role == Role::kMixed) continue;
-      cells[{h.zone, h.cell}].ready_writers += h.role == Role::kWriter ? 1 : 0;
       for (Place* p : {&cells[{h.zone, h.cell}], &zones[h.zone], &all})
         (h.role == Role::kReader ? p->readers : p->writers) += h.weight;
     }
     for (auto& [name, h] : hosts_) {
-      h.peers = std::max(1.0, cells[{h.zone, h.cell}].ready_writers);
       const double cell = cells[{h.zone, h.cell}].near(all);
+      h.reads_near = cells[{h.zone, h.cell}].readers / std::max(all.readers, 1e-9);
       h.near = cell + (1 - cell) * kOtherZone * zones[h.zone].near(all);
     }
     readers_ = pool(Role::kReader).ready + pool(Role::kMixed).ready;
@@ -1054,11 +1048,11 @@
   std::map<std::string, Norm> stream_norms_;  // seconds that streams take, by class
   std::map<std::uint64_t, double> heat_;      // recent requests by shared text
   double heat_total_ = 0, heat_discount_ = 0, readers_ = 0;
-  double wait_pair_ = 0, wait_mixed_ = 0;   // recent first tokens over their objectives: two stages, one
-  Norm far_norm_;                           // the same for states fetched from another cell
-  std::array<Norm, 3> start_norms_;         // microseconds for a token of start work, by role
-  std::array<std::deque<Time>, 3> served_;  // recent results, by role
-  std::array<double, 3> fails_{}, cold_budget_{}, ready_{};
+  double wait_pair_ = 0, wait_mixed_ = 0;  // recent first tokens over their objectives: two stages, one
+  Norm far_norm_;                          // the same for states fetched from another cell
+  std::array<Norm, 3> start_norms_;        // microseconds for a token of start work, by role
+  std::array<std::deque<std::pair<Time, double>>, 3> served_;  // recent results of warm hosts: see count_warm
+  std::array<double, 3> fails_{}, warm_{}, warm_rate_{}, ready_{};
   double late_sum_ = 0, late_count_ = 0;  // see note_lateness
   Time late_at_{};
   Duration shortest_{};  // objective of any class: the patient must not fill the line for the others
--- /dev/null
+++ b/tests/dispatcher/router_world.cpp
@@ -0,0 +1,170 @@
+#include "router_world.hpp"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+namespace bitternferry::testing {
+
+using basaltvane::Verdict;
+
+Duration micros(double seconds) { return Duration(std::llround(seconds * 1e6)); }
+double seconds_of(Duration time) { return static_cast<double>(time.count()) / 1e6; }
+
+RouterWorld::RouterWorld(const model::Figures& figures, std::size_t processes, std::uint64_t seed)
+    : figures_(figures),
+      seed_(seed),
+      fleet_(figures_, deadlines_, [this] { return now_; }),
+      processes_(processes) {
+  figures_.settings.router_count = static_cast<int>(processes);
+  fleet_.on_list([this] {
+    for (const auto& entry : fleet_.list().entries) starts_[entry.host] = entry.started;
+  });
+  for (std::size_t i = 0; i < processes; ++i) make(i);
+}
+
+void RouterWorld::make(std::size_t process) {
+  Process& p = processes_[process];
+  basaltvane::Settings settings = figures_.settings;
+  settings.router_number = static_cast<int>(process);
+  const auto life = static_cast<std::uint64_t>(p.life++);
+  p.router = std::make_unique<basaltvane::Router>(settings, seed_ * 1'000'003 + process * 977 + life * 7'919);
+}
+
+basaltvane::HostList RouterWorld::list() const {
+  basaltvane::HostList list = fleet_.list();
+  if (listed) std::erase_if(list.entries, [this](const auto& entry) { return !listed(entry); });
+  return list;
+}
+
+void RouterWorld::tell(std::size_t process) {
+  Process& p = processes_[process];
+  p.list = list();
+  p.told.clear();
+  for (const basaltvane::HostEntry& entry : p.list.entries) p.told[entry.host] = entry.started;
+  pass(process, p.list);
+}
+
+void RouterWorld::tell_all() {
+  for (std::size_t i = 0; i < processes_.size(); ++i) tell(i);
+}
+
+void RouterWorld::restart(std::size_t process) {
+  Process& p = processes_[process];
+  for (auto& [id, a] : std::exchange(p.attempts, {})) {
+    if (!a.out) continue;
+    deadlines_.drop(a.times_out);
+    fleet_.abandon(a.work);
+    fleet_.release(id);
+    end(id, End::kFailed);
+  }
+  make(process);
+  pass(process, p.list);
+}
+
+std::size_t RouterWorld::ask(Ask ask) {
+  const std::size_t number = asks_.size();
+  const auto& classes = figures_.settings.classes;
+  const auto cls = std::find_if(classes.begin(), classes.end(),
+                                [&](const auto& c) { return c.name == ask.request.request_class; });
+  ask.request.id = std::to_string(number);
+  ask.request.max_tokens = 4 * ask.answer;
+  ask.request.client_deadline =
+      now_ + cls->deadline + 2 * cls->objective_per_1000_tokens * ask.request.prompt_tokens / 1000;
+  ask.at = now_;
+  asks_.push_back(ask);
+  pass(ask.process, ask.request);
+  return number;
+}
+
+void RouterWorld::run_until(Time time) {
+  for (auto next = deadlines_.next(); next && *next <= time; next = deadlines_.next()) {
+    now_ = std::max(now_, *next);
+    deadlines_.run(now_);
+  }
+  now_ = time;
+}
+
+void RouterWorld::pass(std::size_t process, const basaltvane::Event& event) {
+  for (const auto& action : processes_[process].router->handle(now_, event)) carry_out(process, action);
+}
+
+void RouterWorld::carry_out(std::size_t process, const basaltvane::Action& action) {
+  Process& p = processes_[process];
+  if (const auto* s = std::get_if<basaltvane::Send>(&action)) return send(process, *s);
+  if (const auto* r = std::get_if<basaltvane::Refuse>(&action)) return end(r->request, End::kRefused);
+  if (const auto* f = std::get_if<basaltvane::Fail>(&action)) return end(f->request, End::kFailed);
+  if (const auto* l = std::get_if<basaltvane::Release>(&action)) return fleet_.release(l->request);
+  if (const auto* t = std::get_if<basaltvane::SetTimer>(&action)) {
+    at(now_ + t->after, [this, process, tag = t->tag, life = p.life] {
+      if (processes_[process].life == life) pass(process, basaltvane::Timer{tag});
+    });
+  }
+  if (const auto* c = std::get_if<basaltvane::Cancel>(&action)) {
+    const Attempt& a = p.attempts[c->request];
+    if (!a.out || a.begun || a.number != c->attempt) return;
+    fleet_.abandon(a.work);
+    at(now_, [this, process, id = c->request, life = p.life] {
+      if (processes_[process].life == life) end_attempt(process, id, {Verdict::kCancelled, 0, {}});
+    });
+  }
+}
+
+void RouterWorld::send(std::size_t process, const basaltvane::Send& send) {
+  Process& p = processes_[process];
+  Ask& ask = of(send.request);
+  const basaltvane::Request& r = ask.request;
+  Attempt& a = p.attempts[r.id];
+  a.number += a.sent == Time{} ? 0 : 1;
+  a.host = send.host;
+  a.sent = now_;
+  a.out = true;
+  const bool reads = send.host.starts_with("r");
+  const double work =
+      reads ? double(r.prompt_tokens) / figures_.prompt : double(ask.answer) / figures_.answer;
+  const auto told = p.told.find(send.host);
+  sent_.push_back(
+      {now_, process, send.host, work, told != p.told.end() && told->second == starts_[send.host]});
+  const int life = p.life;
+  model::Fleet::Callbacks callbacks;
+  callbacks.first = [this, process, id = r.id, life] {
+    Process& then = processes_[process];
+    if (then.life != life) return;
+    Attempt& began = then.attempts[id];
+    began.begun = true;
+    deadlines_.drop(began.times_out);
+    of(id).first = now_ - of(id).at;
+    pass(process, basaltvane::FirstToken{id, began.host, began.number, now_ - began.sent});
+  };
+  callbacks.ended = [this, process, id = r.id, life](const core::Ending& ending) {
+    if (processes_[process].life == life) end_attempt(process, id, ending);
+  };
+  a.work =
+      fleet_.send(send.host, {r.id, r.session, r.shared_prefix, r.prompt_tokens, r.prefix_tokens, ask.answer},
+                  std::move(callbacks));
+  a.times_out = deadlines_.add(std::max(send.not_past, now_), [this, process, id = r.id, life] {
+    if (processes_[process].life != life) return;
+    fleet_.abandon(processes_[process].attempts[id].work);
+    end_attempt(process, id, {Verdict::kTimeout, 0, {}});
+  });
+}
+
+void RouterWorld::end_attempt(std::size_t process, const std::string& id, const core::Ending& ending) {
+  Attempt& a = processes_[process].attempts[id];
+  if (!a.out) return;
+  a.out = false;
+  deadlines_.drop(a.times_out);
+  const bool served = ending.verdict == Verdict::kServed;
+  if (served || a.begun) end(id, served ? End::kServed : End::kFailed);
+  const basaltvane::Outcome outcome{
+      id, a.host, a.number, ending.verdict, now_ - a.sent, served || a.begun, ending.note, ending.report};
+  if (served || a.begun) processes_[process].attempts.erase(id);
+  pass(process, outcome);
+}
+
+void RouterWorld::end(const std::string& id, End how) {
+  Ask& ask = of(id);
+  if (ask.end == End::kOpen) ask.end = how;
+}
+
+}  // namespace bitternferry::testing
--- /dev/null
+++ b/tests/dispatcher/router_world.hpp
@@ -0,0 +1,111 @@
+// Many routers, driven by events alone, before the model fleet in virtual time: each process sees its own
+// traffic only, loses all when it restarts, and hears of changes when the test has it told.
+#ifndef BITTERNFERRY_TESTS_DISPATCHER_ROUTER_WORLD_HPP_
+#define BITTERNFERRY_TESTS_DISPATCHER_ROUTER_WORLD_HPP_
+
+#include <cmath>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "basaltvane/router.hpp"
+#include "core/deadlines.hpp"
+#include "model/fleet.hpp"
+
+namespace bitternferry::testing {
+
+using basaltvane::Duration;
+using basaltvane::Time;
+
+// The same numbers on every platform, unlike the library's distributions.
+class Chance {
+ public:
+  explicit Chance(std::uint64_t seed) : bits_(seed) {}
+  double unit() { return (static_cast<double>(bits_() >> 11U) + 0.5) / 9007199254740992.0; }
+  double exponential(double mean) { return -mean * std::log(unit()); }
+  std::size_t below(std::size_t n) { return static_cast<std::size_t>(unit() * static_cast<double>(n)); }
+
+ private:
+  std::mt19937_64 bits_;
+};
+
+Duration micros(double seconds);
+double seconds_of(Duration time);
+
+class RouterWorld {
+ public:
+  struct Sent {
+    Time at{};
+    std::size_t process = 0;
+    std::string host;
+    double work = 0;    // over the mean of its stage
+    bool told = false;  // the process knew of the host's latest start
+  };
+  enum class End { kOpen, kServed, kRefused, kFailed };
+  struct Ask {
+    std::size_t process = 0;
+    basaltvane::Request request;  // its deadline is filled in, by class and length
+    int answer = 1;               // tokens
+    End end = End::kOpen;
+    Time at{};
+    Duration first{};  // until its first token
+  };
+
+  // Settings and fleet as in the figures; `mean_prompt` and `mean_answer` make requests of mean work.
+  RouterWorld(const model::Figures& figures, std::size_t processes, std::uint64_t seed);
+
+  void tell(std::size_t process);  // the list as it is now
+  void tell_all();
+  void restart(std::size_t process);  // what it has open is lost; it starts anew with the list it had
+  std::size_t ask(Ask ask);           // its number in asks()
+  void at(Time time, std::function<void()> action) { deadlines_.add(time, std::move(action)); }
+  void run_until(Time time);
+
+  Time now() const { return now_; }
+  model::Fleet& fleet() { return fleet_; }
+  const std::vector<Ask>& asks() const { return asks_; }
+  const std::vector<Sent>& sent() const { return sent_; }
+  std::function<bool(const basaltvane::HostEntry&)> listed;  // what the list tells; empty: all
+
+ private:
+  struct Attempt {
+    model::Fleet::Work work = 0;
+    std::string host;
+    int number = 0;
+    Time sent{};
+    bool out = false, begun = false;
+    core::Deadlines::Id times_out;
+  };
+  struct Process {
+    std::unique_ptr<basaltvane::Router> router;
+    int life = 0;
+    basaltvane::HostList list;
+    std::map<std::string, Time> told;  // latest starts that it knows
+    std::map<std::string, Attempt> attempts;
+  };
+  void make(std::size_t process);
+  void pass(std::size_t process, const basaltvane::Event& event);
+  void carry_out(std::size_t process, const basaltvane::Action& action);
+  void send(std::size_t process, const basaltvane::Send& send);
+  void end_attempt(std::size_t process, const std::string& id, const core::Ending& ending);
+  void end(const std::string& id, End how);
+  basaltvane::HostList list() const;
+  Ask& of(const std::string& id) { return asks_[std::stoul(id)]; }
+
+  model::Figures figures_;
+  std::uint64_t seed_;
+  Time now_ = std::chrono::seconds(1'000'000);
+  core::Deadlines deadlines_;
+  model::Fleet fleet_;
+  std::map<std::string, Time> starts_;  // latest starts, told or not
+  std::vector<Process> processes_;
+  std::vector<Ask> asks_;
+  std::vector<Sent> sent_;
+};
+
+}  // namespace bitternferry::testing
+
+#endif  // BITTERNFERRY_TESTS_DISPATCHER_ROUTER_WORLD_HPP_
