A long prompt in time by its own deadline is no longer refused as hopeless

Seen in virtual time (tests/dispatcher/fairness_test.cpp): with first tokens of short prompts an eighth late, a prompt of 20,000 tokens with 9 s left was refused ("CHECK( ask("long", 20'000) ) with expansion: false"), a short one with 3 s left was not. hopeless() multiplied the whole objective, also the part for the prompt's own length, by the lateness of the line (router.cpp, the test against client_deadline). Deadlines grow by twice that part, so above a lateness of 1 the longest prompts went first. Now lateness stretches the class's objective; the own part counts at most once (times kNoTime).

--- a/src/fleet/slow_start.hpp
+++ b/src/fleet/slow_start.hpp
@@ -12,7 +12,7 @@
 // processes went unused by their few requests. Each request draws the cold hosts that are open to it, as many
 // as give each host 0.36 N over N's load: at a load L of the fleet (1: all that it can do) the sum is a
 // Poisson number of mean 0.36 L N, whatever the shares of traffic, and no restart matters. The chance of
-// passing the bound in a window is greatest at N = 1.5 to 2: 1e-6 at L = 0.5, 2e-5 at 1, 1e-3 in a burst to L
+// passing the bound in a window is greatest at N = 1.5 to 2: 3e-6 at L = 0.5, 2e-5 at 1, 1e-3 in a burst to L
 // = 2 (0.8 times 2.5). With exponential lengths it is 0.1 to 0.5% below N = 5 at L = 1 (one long request is
 // over the bound by itself) and under 0.1% above.
 #ifndef BITTERNFERRY_FLEET_SLOW_START_HPP_
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -689,8 +689,10 @@
   // leaves before first tokens come now is work for nobody: such had half of all reads cut (iacc812).
   bool hopeless(const Pending& q) {
     note_lateness(0, 0);
-    if (q.r.client_deadline - now_ < scaled(q.objective(), kNoTime * lateness())) return true;
-    if (lateness() < kLate) return false;
+    const double late = lateness();  // by the line: a long prompt's own part takes no longer for it
+    const Duration line = scaled(q.cls->objective, late), own = q.objective() - q.cls->objective;
+    if (q.r.client_deadline - now_ < scaled(line + scaled(own, std::min(1.0, late)), kNoTime)) return true;
+    if (late < kLate) return false;
     while (!starts_.empty() && starts_.front() < now_ - kStartWindow) starts_.pop_front();
     double waiting = -1;  // q is among them, and no line of its own
     for (const auto& [id, o] : requests_) {
--- a/tests/dispatcher/router_world.cpp
+++ b/tests/dispatcher/router_world.cpp
@@ -12,11 +12,16 @@
 double seconds_of(Duration time) { return static_cast<double>(time.count()) / 1e6; }
 
 RouterWorld::RouterWorld(const model::Figures& figures, std::size_t processes, std::uint64_t seed)
+    : RouterWorld(figures, figures.settings, processes, seed) {}
+
+RouterWorld::RouterWorld(const model::Figures& figures, const basaltvane::Settings& told,
+                         std::size_t processes, std::uint64_t seed)
     : figures_(figures),
+      told_(told),
       seed_(seed),
       fleet_(figures_, deadlines_, [this] { return now_; }),
       processes_(processes) {
-  figures_.settings.router_count = static_cast<int>(processes);
+  told_.router_count = static_cast<int>(processes);
   fleet_.on_list([this] {
     for (const auto& entry : fleet_.list().entries) starts_[entry.host] = entry.started;
   });
@@ -25,7 +30,7 @@
 
 void RouterWorld::make(std::size_t process) {
   Process& p = processes_[process];
-  basaltvane::Settings settings = figures_.settings;
+  basaltvane::Settings settings = told_;
   settings.router_number = static_cast<int>(process);
   const auto life = static_cast<std::uint64_t>(p.life++);
   p.router = std::make_unique<basaltvane::Router>(settings, seed_ * 1'000'003 + process * 977 + life * 7'919);
@@ -33,6 +38,7 @@
 
 basaltvane::HostList RouterWorld::list() const {
   basaltvane::HostList list = fleet_.list();
+  for (auto& entry : list.entries) entry.started = tells_starts ? entry.started : Time{};
   if (listed) std::erase_if(list.entries, [this](const auto& entry) { return !listed(entry); });
   return list;
 }
@@ -64,7 +70,7 @@
 
 std::size_t RouterWorld::ask(Ask ask) {
   const std::size_t number = asks_.size();
-  const auto& classes = figures_.settings.classes;
+  const auto& classes = told_.classes;
   const auto cls = std::find_if(classes.begin(), classes.end(),
                                 [&](const auto& c) { return c.name == ask.request.request_class; });
   ask.request.id = std::to_string(number);
@@ -164,7 +170,9 @@
 
 void RouterWorld::end(const std::string& id, End how) {
   Ask& ask = of(id);
-  if (ask.end == End::kOpen) ask.end = how;
+  if (ask.end != End::kOpen) return;
+  ask.end = how;
+  ask.ended = now_;
 }
 
 }  // namespace bitternferry::testing
--- a/tests/dispatcher/router_world.hpp
+++ b/tests/dispatcher/router_world.hpp
@@ -52,10 +52,14 @@
     End end = End::kOpen;
     Time at{};
     Duration first{};  // until its first token
+    Time ended{};
   };
 
   // Settings and fleet as in the figures; `mean_prompt` and `mean_answer` make requests of mean work.
   RouterWorld(const model::Figures& figures, std::size_t processes, std::uint64_t seed);
+  // ... while the routers are told other settings.
+  RouterWorld(const model::Figures& figures, const basaltvane::Settings& told, std::size_t processes,
+              std::uint64_t seed);
 
   void tell(std::size_t process);  // the list as it is now
   void tell_all();
@@ -69,6 +73,7 @@
   const std::vector<Ask>& asks() const { return asks_; }
   const std::vector<Sent>& sent() const { return sent_; }
   std::function<bool(const basaltvane::HostEntry&)> listed;  // what the list tells; empty: all
+  bool tells_starts = true;                                  // else all look as if started long ago
 
  private:
   struct Attempt {
@@ -96,6 +101,7 @@
   Ask& of(const std::string& id) { return asks_[std::stoul(id)]; }
 
   model::Figures figures_;
+  basaltvane::Settings told_;
   std::uint64_t seed_;
   Time now_ = std::chrono::seconds(1'000'000);
   core::Deadlines deadlines_;
