Merge the slow start of cold replicas and the long prompts that are in time

The index of texts sent, a table, moves out of the module's file; the slow start's functions count as policy and its arithmetic stands in docs/design/slow-start.md.

--- a/src/router.cpp
+++ b/src/router.cpp
@@ -5,11 +5,12 @@
 #include <array>
 #include <cmath>
 #include <deque>
-#include <list>
 #include <map>
 #include <set>
 #include <utility>
 
+#include "fleet/prefix_index.hpp"
+#include "fleet/slow_start.hpp"
 #include "settings/check.hpp"
 
 namespace basaltvane {
@@ -19,7 +20,6 @@
 
 using Ms = std::chrono::milliseconds;
 constexpr double kPrefixWeight = 3, kLoadWeight = 2, kMemoryWeight = 2;  // as in the design
-constexpr int kBlockTokens = 16;                      // lengths in the index are counted in these
 constexpr std::size_t kIndexDefault = 31250;          // blocks, where the settings tell no memory
 constexpr double kSpreadFloor = 0.5;                  // of the mean load: min-max stretches no smaller spread
 constexpr double kSpreadMost = 2;                     // ... and no larger one: one jammed host hides no line
@@ -50,7 +50,6 @@
 constexpr double kMoveQuiet = 0.5;        // of an objective, in silence: a hung writer's streams move
 constexpr Duration kFullFor = Ms(300);    // rest of a full host
 constexpr Duration kKeyRest = Ms(20000);  // ... for a class and tenant that it turned away
-constexpr double kColdCare = 0.6;         // part of the cold budget taken: the others may send more than we
 constexpr double kOpenTurn = 0.3;         // added to the score of a cold reader that is open to the request
 constexpr Duration kTickEvery = Ms(20), kRateWindow = Ms(8000);  // of own results of warm hosts
 constexpr double kPinCare = 0.7;  // of the pin limit after which a state gets no other try
@@ -77,42 +76,6 @@
   return h;
 }
 
-// ---- prefix index ----
-
-// What this router has sent to one reader: texts by key, least recently used first to go.
-struct PrefixIndex {
-  using Key = std::pair<bool, std::uint64_t>;  // whether it is a shared text, and Pending's slot or text
-  struct Entry {
-    Key key;
-    int tokens;
-    std::size_t blocks;
-  };
-  std::list<Entry> order;
-  std::map<Key, std::list<Entry>::iterator> where;
-  std::size_t used = 0;
-
-  int covered(const Key& key) const {
-    const auto it = where.find(key);
-    return it == where.end() ? 0 : it->second->tokens;
-  }
-  void learn(const Key& key, int tokens, int own_tokens, std::size_t most_blocks) {
-    Entry entry{key, tokens / kBlockTokens * kBlockTokens, std::size_t(own_tokens / kBlockTokens) + 1};
-    if (covered(key) > entry.tokens) entry = *where[key];  // a shorter prompt takes nothing from it
-    forget(key);
-    order.push_front(entry);
-    where[key] = order.begin();
-    used += entry.blocks;
-    while (used > most_blocks && !order.empty()) forget(Key(order.back().key));
-  }
-  void forget(const Key& key) {
-    const auto it = where.find(key);
-    if (it == where.end()) return;
-    used -= it->second->blocks;
-    order.erase(it->second);
-    where.erase(it);
-  }
-};
-
 struct Norm : Average {
   void add(double x) {
     if (n >= kMinSamples) x = std::min(x, kOutlier * mean);
@@ -137,8 +100,8 @@
 };
 
 struct Host : HostEntry, Standing {
-  double near = 1;   // part of what a reader reads that is written close to it: see place_hosts
-  double peers = 1;  // ready writers of its cell, for a writer
+  double near = 1;        // part of what a reader reads that is written close to it: see place_hosts
+  double reads_near = 1;  // part of all readers that is in its cell
   PrefixIndex index;
   double read_tokens = 0;  // prompt tokens of own attempts still to be read there
   LoadReport report;
@@ -156,8 +119,8 @@
   bool awaited() const { return reads + streams > begun; }  // an own attempt there has shown nothing yet
 };
 
-struct Place {                                         // a cell, a zone or all: what it has of each
-  double readers = 0, writers = 0, ready_writers = 0;  // by weight, and counted
+struct Place {                      // a cell, a zone or all: what it has of each
+  double readers = 0, writers = 0;  // by weight
   double near(const Place& all) const {
     return std::min(1.0, writers * all.readers / std::max(readers * all.writers, 1e-9));
   }
@@ -295,7 +258,7 @@
   void note_success(Host& h, double ratio) {
     const auto role = ix(h.role);
     h.last_alive = now_;
-    served_[role].push_back(now_);
+    if (!cold(h)) served_[role].emplace_back(now_, 1 / std::max(1.0, warm_[role]));
     fails_[role] *= 1 - kNormGain;
     h.doubt /= 2;
     h.hung = false;
@@ -335,42 +298,36 @@
 
   // ---- cold hosts ----
 
-  bool cold(const Host& h) const {
-    const Time since = std::max(h.started, h.back);
-    return since != Time{} && now_ < since + s_->cold_time;
-  }
-  double power(const Host& h) const { return cold(h) ? std::max(0.1, s_->cold_share) : 1.0; }
-
-  // Our part of the tip budget: what a warm peer has done for us is our part of what a warm host can do. Only
-  // results count: a storm of full answers must not raise it (ic21194). Below one request in a window each
-  // request draws the cold hosts that are open to it, at a fair part of all, since 150 routers sending "just
-  // one" broke the rule (ia523c0). Turns of a router went unused by its few requests: the warm hosts jammed.
-  bool by_turns(const Host& h) const { return cold(h) && cold_budget_[ix(h.role)] < 1; }
+  static Time since(const Host& h) { return std::max(h.started, h.back); }
+  bool cold(const Host& h) const { return since(h) != Time{} && now_ < since(h) + s_->cold_time; }
+  double warmth(const Host& h) const { return cold(h) ? slow_start::warmth(*s_, now_ - since(h)) : 1; }
+  double power(const Host& h) const { return std::max(0.1, warmth(h)); }
+  double budget(const Host& h) const { return slow_start::budget(*s_, warmth(h), warm_rate_[ix(h.role)]); }
+  bool by_turns(const Host& h) const { return cold(h) && budget(h) < 1; }
   bool cold_allows(const Host& h, const Pending& q) const {
     if (!cold(h)) return true;
     const auto used =
         std::count_if(h.sends.begin(), h.sends.end(), [&](Time t) { return t > now_ - s_->tip_window; });
-    if (!by_turns(h)) return static_cast<double>(used) < std::round(cold_budget_[ix(h.role)]);
-    const double warmed = seconds(now_ - std::max(h.started, h.back)) / seconds(s_->cold_time);
+    if (!by_turns(h)) return static_cast<double>(used) < std::round(budget(h));
+    double open = slow_start::draw(*s_, warmth(h), ready_[ix(h.role)]);
     const auto reader = h.role == Role::kWriter ? hosts_.find(q.reader) : hosts_.end();
-    const bool near = reader != hosts_.end() && same_cell(h, reader->second);
-    const double fair = std::min(1.0, kColdCare * s_->tip_multiple * std::lerp(s_->cold_share, 1.0, warmed)) /
-                        (near ? h.peers : ready_[ix(h.role)]);
+    if (reader != hosts_.end()) open *= slow_start::draw_by_cell(same_cell(h, reader->second), h.reads_near);
     const auto window = static_cast<std::uint64_t>(now_ / std::max(s_->tip_window, Duration(1)));
-    return used < 1 && unit(mix(h.hash ^ mix(window)) ^ hash_text(q.r.id)) < fair;
+    return used < 1 && unit(mix(h.hash ^ mix(window)) ^ hash_text(q.r.id)) < open;
   }
 
-  // Results a second that a warm host of each role gives us; without one left, what the last ones gave.
+  // Results a second that a warm host of each role gives us: each over as many as there were then.
   void count_warm() {
     for (std::size_t role = 0; role < served_.size(); ++role) {
-      std::deque<Time>& served = served_[role];
-      while (!served.empty() && served.front() < now_ - kRateWindow) served.pop_front();
+      auto& served = served_[role];
+      while (!served.empty() && served.front().first < now_ - kRateWindow) served.pop_front();
       const Pool p = pool(static_cast<Role>(role));
       ready_[role] = p.ready;
-      const double span = std::min(seconds(kRateWindow), seconds(now_ - born_));
-      if (p.warm <= 0) continue;
-      cold_budget_[role] = kColdCare * s_->tip_multiple * s_->cold_share * seconds(s_->tip_window) *
-                           static_cast<double>(served.size()) / p.warm / std::max(span, 1.0);
+      if (p.warm <= 0) continue;  // what the last ones gave
+      warm_[role] = p.warm;
+      warm_rate_[role] = 0;
+      const Duration span = std::max(s_->tip_window, std::min(kRateWindow, now_ - born_));
+      for (const auto& [at, part] : served) warm_rate_[role] += part / std::max(seconds(span), 1.0);
     }
   }
 
@@ -655,8 +612,8 @@
 
   void route(Pending& q) {
     // An answer that is not given now may have to wait for the next tick, past the client's deadline.
-    const bool forgotten =
-        bound_to_window(q) && now_ >= window_end(q);  // a repeat would have its effect anew
+    // So may a repeat whose effect is forgotten by now: it would take place anew.
+    const bool forgotten = bound_to_window(q) && now_ >= window_end(q);
     if (q.spent >= q.rules->max_attempts || now_ + lead() >= q.r.client_deadline || forgotten)
       return give_up(q);
     if (q.phase == Phase::kNeedsWriter) {
@@ -673,9 +630,8 @@
     }
     if (reader != nullptr)
       send(q, *reader, reader->role == Role::kReader ? Phase::kReading : Phase::kWriting);
-    else if (q.spent + 2 > q.rules->max_attempts &&
-             !serves_whole())  // no read and write are left: nothing to wait for
-      give_up(q);
+    else if (q.spent + 2 > q.rules->max_attempts && !serves_whole())
+      give_up(q);  // no read and write are left: nothing to wait for
   }
   bool serves_whole() const {
     return s_->writers_read || std::any_of(hosts_.begin(), hosts_.end(),
@@ -713,9 +669,11 @@
   // leaves before first tokens come now is work for nobody: such had half of all reads cut (iacc812).
   bool hopeless(const Pending& q) {
     note_lateness(0, 0);
+    const double late = lateness();  // by the line: a long prompt's own part takes no longer for it
+    const Duration line = scaled(q.cls->objective, late), own = q.objective() - q.cls->objective;
     while (!starts_.empty() && starts_.front() < now_ - kStartWindow) starts_.pop_front();
-    if (q.r.client_deadline - now_ < scaled(q.objective(), kNoTime * lateness())) return true;
-    if (lateness() < kLate) return false;
+    if (q.r.client_deadline - now_ < scaled(line + scaled(own, std::min(1.0, late)), kNoTime)) return true;
+    if (late < kLate) return false;
     double waiting = -1;  // q is among them, and no line of its own
     for (const auto& [id, o] : requests_) {
       const bool stuck =
@@ -790,7 +748,8 @@
     for (std::size_t role = 0; role < served_.size(); ++role) {
       static_cast<Average&>(start_norms_[role]) = k.starts[role];
       for (int i = k.served[role]; i > 0; --i)
-        served_[role].push_front(now_ - scaled(kRateWindow, double(k.served[role] - i) / k.served[role]));
+        served_[role].emplace_front(now_ - scaled(kRateWindow, double(k.served[role] - i) / k.served[role]),
+                                    1 / std::max(1.0, warm_[role]));
     }
     born_ = std::min(born_, k.since);
     for (const Knowledge::OfHost& of : k.hosts) {
@@ -843,13 +802,12 @@
     Place all;
     for (const auto& [name, h] : hosts_) {
       if (h.state != HostState::kReady || h.role == Role::kMixed) continue;
-      cells[{h.zone, h.cell}].ready_writers += h.role == Role::kWriter ? 1 : 0;
       for (Place* p : {&cells[{h.zone, h.cell}], &zones[h.zone], &all})
         (h.role == Role::kReader ? p->readers : p->writers) += h.weight;
     }
     for (auto& [name, h] : hosts_) {
-      h.peers = std::max(1.0, cells[{h.zone, h.cell}].ready_writers);
       const double cell = cells[{h.zone, h.cell}].near(all);
+      h.reads_near = cells[{h.zone, h.cell}].readers / std::max(all.readers, 1e-9);
       h.near = cell + (1 - cell) * kOtherZone * zones[h.zone].near(all);
     }
     readers_ = pool(Role::kReader).ready + pool(Role::kMixed).ready;
@@ -1068,11 +1026,11 @@
   std::map<std::string, Norm> stream_norms_;  // seconds that streams take, by class
   std::map<std::uint64_t, double> heat_;      // recent requests by shared text
   double heat_total_ = 0, heat_discount_ = 0, readers_ = 0;
-  double wait_pair_ = 0, wait_mixed_ = 0;   // recent first tokens over their objectives: two stages, one
-  Norm far_norm_;                           // the same for states fetched from another cell
-  std::array<Norm, 3> start_norms_;         // microseconds for a token of start work, by role
-  std::array<std::deque<Time>, 3> served_;  // recent results, by role
-  std::array<double, 3> fails_{}, cold_budget_{}, ready_{};
+  double wait_pair_ = 0, wait_mixed_ = 0;  // recent first tokens over their objectives: two stages, one
+  Norm far_norm_;                          // the same for states fetched from another cell
+  std::array<Norm, 3> start_norms_;        // microseconds for a token of start work, by role
+  std::array<std::deque<std::pair<Time, double>>, 3> served_;  // recent results of warm hosts: see count_warm
+  std::array<double, 3> fails_{}, warm_{}, warm_rate_{}, ready_{};
   double late_sum_ = 0, late_count_ = 0;  // see note_lateness
   Time late_at_{};
   Duration shortest_{};  // objective of any class: the patient must not fill the line for the others
