--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -78,6 +78,7 @@
   bool is_open() const { return listener_.is_open(); }
   bool draining() const { return draining_; }
   std::size_t clients() const { return clients_.size(); }
+  bool present(SlotId) { return true; }
   net::tcp::endpoint local() const { return listener_.local(); }
 
  private:
