What may be held for a request, and what is said to replicas, are parts of their own

Found on the way: - a hold that waited for its connection was written after the release of its request, and held a place with nobody to let go of it (Pool::hold lines were left alone by release()); - a stream cut inside its first event ended as a reset with note 0, though its writer had fetched the state (judge()); - an attempt that timed out half written ended without the note that its connection had been made, so that what a broken read may leave was not asked for again after it (give_up_attempt());

Without the mends, on a scratch copy: "1 == 0" calls to hold, "0 == 1" note, "1 == 2" releases, and a "release" too many for an attempt half written as its client left.

--- a/src/core/engine.cpp
+++ b/src/core/engine.cpp
@@ -86,7 +86,8 @@
   feed(ClientGone{name});
   // The router leaves a running stream alone; nobody reads it any more, so its work must stop here.
   if (streaming) give_up_attempt(id, *streaming, Verdict::kCancelled);
-  if ((flight = requests_.find(id)) != nullptr && flight->may_hold && !any_under_way(id)) stray(id, false);
+  if ((flight = requests_.find(id)) != nullptr && flight->held.may_hold() && !any_under_way(id))
+    stray(id, false);
   settle(id);
 }
 
@@ -220,9 +221,7 @@
   if (!flight->streaming) {
     if (flight->answered) return give_up_attempt(attempt.request, attempt.number, Verdict::kCancelled);
     flight->streaming = attempt.number;
-    flight->may_hold = flight->at_router =
-        false;  // with the first token all else that is held goes by itself
-    flight->runs_until = {};
+    flight->held.first_token();
     flight->message.reset();
     deadlines_.drop(found->limit);
     deadlines_.drop(flight->overdue);
@@ -270,7 +269,7 @@
 }
 
 void Engine::released(const std::string& id) {
-  if (Flight* flight = requests_.find(find(id))) flight->may_hold = false;
+  if (Flight* flight = requests_.find(find(id))) flight->held.release_answered();
 }
 
 void Engine::hold_answer(AttemptId attempt, const std::string& host, bool held) {
@@ -282,10 +281,10 @@
 void Engine::give_up_attempt(SlotId id, int number, Verdict verdict) {
   Flight* flight = nullptr;
   if (find_out({id, number}, &flight) == nullptr) return;
-  const bool delivered = upstream_.abandon({id, number});
+  const bool made = upstream_.under_way({id, number}), delivered = upstream_.abandon({id, number});
   if (!delivered && verdict == Verdict::kTimeout) verdict = Verdict::kConnectFailed;
   if (!delivered && verdict == Verdict::kCancelled && flight->answered) verdict = Verdict::kNeverSent;
-  close(id, number, {verdict, 0, {}});
+  close(id, number, {verdict, made && verdict == Verdict::kConnectFailed ? 1 : 0, {}});
 }
 
 // The one place where an attempt ends.
@@ -309,7 +308,8 @@
   }
   flight.timed_out = verdict == Verdict::kTimeout;
   if (verdict == Verdict::kConnectFailed && number < flight.rules->free_connects) --flight.spent;
-  const bool left = note_state(flight, attempt, {verdict, ending.note, {}}, limit);
+  const Time runs_until = limit + flight.rules->pin_limit / kStrayPart;
+  const bool left = flight.held.attempt_ended({verdict, ending.note, attempt.reads, runs_until}, clock_());
   if (ending.unusable && !flight.answered) {
     answered(flight);
     flight.front->fail(flight.client, Failure::kUnusable);
@@ -317,34 +317,11 @@
   Outcome outcome{flight.id,       attempt.host, number,       verdict, clock_() - attempt.sent,
                   flight.answered, ending.note,  ending.report};
   request_log_.ended(outcome);
-  if (flight.may_hold && !any_under_way(id)) stray(id, left);
+  if (flight.held.may_hold() && !any_under_way(id)) stray(id, left);
   feed(std::move(outcome));
   settle(id);
 }
 
-// What an attempt's end tells of the states that may be held for its request. True: it may have left one.
-bool Engine::note_state(Flight& flight, const Attempt& attempt, const Ending& ending, Time limit) {
-  const Verdict v = ending.verdict;
-  const bool astray = v == Verdict::kCancelled || v == Verdict::kTimeout || v == Verdict::kReset;
-  const bool spoilt = v == Verdict::kError && ending.note == 1;
-  // No state to fetch may also mean that its reader is cut off, and holds it.
-  const bool lost_touch = v == Verdict::kFull && ending.note == 1;
-  if (spoilt || lost_touch || (v == Verdict::kReset && ending.note == 1)) flight.at_router = false;
-  // A replica notices its end where the dispatcher closes; what broke may run on to the time it was told.
-  const Duration margin = flight.rules->pin_limit / kStrayPart;
-  if (attempt.reads && (spoilt || v == Verdict::kReset))
-    flight.runs_until = std::max(flight.runs_until, limit + margin);
-  const bool left = spoilt || lost_touch || (attempt.reads && astray);
-  // An attempt that was written has ended the calls for what runs on.
-  const bool unwritten = v == Verdict::kConnectFailed && ending.note == 0;
-  if (left || (!unwritten && clock_() < flight.runs_until)) flight.may_hold = true;
-  if (v == Verdict::kRead) {
-    flight.may_hold = false;  // the router knows of a state now: its to let go
-    flight.at_router = true;
-  }
-  return left;
-}
-
 bool Engine::any_under_way(SlotId id) {
   const Flight& flight = *requests_.find(id);
   for (int i = 0; i < static_cast<int>(flight.attempts.size()); ++i) {
@@ -364,8 +341,8 @@
     Flight* stray = requests_.find(id);
     if (stray == nullptr) return;
     stray->letting_go = {};
-    if (stray->may_hold && !stray->at_router && !any_under_way(id))
-      upstream_.release(stray->id, stray->runs_until);
+    if (stray->held.may_release() && !any_under_way(id))
+      upstream_.release(stray->id, stray->held.runs_until());
     settle(id);
   });
 }
@@ -415,13 +392,9 @@
         } else if constexpr (std::is_same_v<A, Cancel>) {
           do_cancel(a);
         } else if constexpr (std::is_same_v<A, Release>) {
-          Time until{};
-          if (Flight* flight = requests_.find(find(a.request))) {
-            flight->at_router = false;
-            flight->may_hold = true;  // until it is answered
-            until = flight->runs_until;
-          }
-          upstream_.release(a.request, until);
+          Flight* flight = requests_.find(find(a.request));
+          if (flight != nullptr) flight->held.router_released();
+          upstream_.release(a.request, flight == nullptr ? Time{} : flight->held.runs_until());
         } else if constexpr (std::is_same_v<A, Hold>) {
           const SlotId id = find(a.request);
           const Flight* flight = requests_.find(id);
--- a/src/core/engine.hpp
+++ b/src/core/engine.hpp
@@ -17,6 +17,7 @@
 
 #include "basaltvane/router.hpp"
 #include "core/deadlines.hpp"
+#include "core/held_states.hpp"
 #include "core/request_log.hpp"
 #include "net/slot_table.hpp"
 
@@ -174,10 +175,7 @@
     int spent = 0;                 // of max_attempts; see Settings::free_connects
     std::optional<int> streaming;  // the attempt that is the client's
     bool answered = false, paused = false, timed_out = false;
-    bool may_hold = false;  // an attempt that went astray may have left a state, and no release was answered
-    bool at_router =
-        false;          // a state that the router knows of: its to let go of, and not to be taken from it
-    Time runs_until{};  // reads that broke may run on up to then, and leave one
+    HeldStates held;
     bool any_out() const;
     Deadlines::Id overdue, silence, letting_go;
   };
@@ -189,7 +187,6 @@
   void close(SlotId id, int number, const Ending& ending);
   void give_up_attempt(SlotId id, int number, Verdict verdict);
   void give_up_unwritten(SlotId id);
-  bool note_state(Flight& flight, const Attempt& attempt, const Ending& ending, Time limit);
   void stray(SlotId id, bool anew);
   bool any_under_way(SlotId id);
   void answered(Flight& flight);
--- /dev/null
+++ b/src/replica/exchange.cpp
@@ -0,0 +1,110 @@
+#include "replica/exchange.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include "wire.hpp"
+
+namespace bitternferry::replica {
+
+using basaltvane::Verdict;
+using Json = nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kLoadComment = ": X-Backend-Load:";
+
+std::string request_head(std::string_view method, std::string_view target) {
+  std::string text;
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: backend.local\r\n");
+  return text;
+}
+
+// What is wrong is the request, whoever it is sent to: not the time or the load.
+bool refuses_request(unsigned status) {
+  return status / 100 == 4 && status != 408 && status != 425 && status != 429;
+}
+
+int cached_tokens(const Json& object) {
+  if (!object.is_object()) return 0;
+  const auto it = object.find("cached_tokens");
+  return it != object.end() && it->is_number_integer() ? it->get<int>() : 0;
+}
+
+basaltvane::LoadReport parse_report(std::string_view text) {
+  const Json fields = Json::parse(text, nullptr, false);
+  if (!fields.is_object()) return {};
+  try {
+    const basaltvane::LoadReport report = basaltvane::wire::parse_load(fields);
+    const auto sound = [](const std::optional<double>& value) {
+      return !value || (*value >= 0 && *value < 1e6);
+    };
+    const bool all = sound(report.in_hand) && sound(report.memory_share) && sound(report.prompt_kilotokens);
+    return all ? report : basaltvane::LoadReport{};
+  } catch (const basaltvane::wire::WireError&) {
+    return {};  // the answer is good all the same
+  }
+}
+
+}  // namespace
+
+std::string request_text(const core::Message& m, core::Duration left) {
+  std::string text = request_head(m.method, m.target);
+  text += "X-Correlation-Id: " + m.id + "\r\nX-Time-Left-Ms: " + std::to_string(left.count() / 1000) + "\r\n";
+  if (!m.content_type.empty()) text += "Content-Type: " + m.content_type + "\r\n";
+  text += "Content-Length: " + std::to_string(m.body.size()) + "\r\n\r\n";
+  return text + m.body;
+}
+
+std::string lease_text(std::string_view method, const std::string& id) {
+  return request_head(method, "/kv/leases/" + id) + "Content-Length: 0\r\n\r\n";
+}
+
+void note_event(const std::string& event, core::Ending& ending) {
+  if (event.starts_with(kLoadComment)) {
+    ending.report = parse_report(std::string_view(event).substr(kLoadComment.size()));
+  } else if (event.find("\"cached_tokens\"") != std::string::npos) {
+    const Json usage = Json::parse(http::event_field(event, "data"), nullptr, false);
+    const auto path = Json::json_pointer("/usage/prompt_tokens_details");
+    if (usage.is_object() && usage.contains(path)) ending.note = cached_tokens(usage.at(path));
+  }
+}
+
+core::Ending judge(const http::ResponseReader::Message& message, std::string_view rest, core::Ending ending) {
+  const auto load = http::header(message, "X-Backend-Load");
+  if (!load.empty()) ending.report = parse_report(load);
+  const bool never_ran = http::header(message, "X-Unprocessed") == "1";
+  switch (message.result_int()) {
+    case 200:  // a comment needs no blank line at the very end; anything else there is an event cut short
+      if (rest.starts_with(kLoadComment)) ending.report = parse_report(rest.substr(kLoadComment.size()));
+      if (rest.empty() || rest.front() == ':') {
+        ending.verdict = Verdict::kServed;
+      } else {
+        ending.verdict = Verdict::kReset;
+        ending.note = 1;
+      }
+      break;
+    case 202:
+      ending.verdict = Verdict::kRead;
+      ending.note = cached_tokens(Json::parse(message.body(), nullptr, false));
+      break;
+    case 410:
+      ending.verdict = never_ran ? Verdict::kFull : Verdict::kError;
+      ending.note = never_ran ? 1 : 0;
+      break;
+    case 503:
+    case 504:
+      ending.verdict = never_ran ? Verdict::kFull : Verdict::kError;
+      break;
+    default:
+      ending.verdict = Verdict::kError;
+      ending.unusable = refuses_request(message.result_int());
+      if (ending.unusable) ending.verdict = Verdict::kNeverSent;  // no sign of the replica's health
+  }
+  return ending;
+}
+
+bool is_usual(int status) {
+  return status == 200 || status == 202 || status == 410 || status == 500 || status == 503 || status == 504;
+}
+
+}  // namespace bitternferry::replica
--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -1,14 +1,12 @@
 #include "replica/pool.hpp"
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
-#include "wire.hpp"
+#include "replica/exchange.hpp"
 
 namespace bitternferry::replica {
 
-using Json = nlohmann::json;
 using std::chrono::milliseconds;
 
 namespace {
@@ -42,33 +40,6 @@
 
 constexpr std::size_t kMostUnread = 4096;  // of a stream that changes hands
 
-constexpr std::string_view kLoadComment = ": X-Backend-Load:";
-
-std::string request_head(std::string_view method, std::string_view target) {
-  std::string text;
-  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\nHost: backend.local\r\n");
-  return text;
-}
-
-std::string request_text(const core::Message& m, Duration left) {
-  std::string text = request_head(m.method, m.target);
-  text += "X-Correlation-Id: " + m.id + "\r\nX-Time-Left-Ms: " + std::to_string(left.count() / 1000) + "\r\n";
-  if (!m.content_type.empty()) text += "Content-Type: " + m.content_type + "\r\n";
-  text += "Content-Length: " + std::to_string(m.body.size()) + "\r\n\r\n";
-  return text + m.body;
-}
-
-// What is wrong is the request, whoever it is sent to: not the time or the load.
-bool refuses_request(unsigned status) {
-  return status / 100 == 4 && status != 408 && status != 425 && status != 429;
-}
-
-int cached_tokens(const Json& object) {
-  if (!object.is_object()) return 0;
-  const auto it = object.find("cached_tokens");
-  return it != object.end() && it->is_number_integer() ? it->get<int>() : 0;
-}
-
 }  // namespace
 
 Pool::Pool(boost::asio::io_context& io, core::Deadlines& deadlines, core::Clock clock, core::Log log,
@@ -386,7 +357,7 @@
   Line& line = *lines_.find(id);
   line.attempt = attempt;
   line.id = request;
-  start(id, Kind::kHold, request_head("POST", "/kv/leases/" + request) + "Content-Length: 0\r\n\r\n");
+  start(id, Kind::kHold, lease_text("POST", request));
 }
 
 // A call to hold a place that still waits for its connection would come after this one.
@@ -408,7 +379,7 @@
   if (!line_id) return {};
   Line& line = *lines_.find(line_id);
   line.id = id;
-  start(line_id, Kind::kRelease, request_head("DELETE", "/kv/leases/" + id) + "Content-Length: 0\r\n\r\n");
+  start(line_id, Kind::kRelease, lease_text("DELETE", id));
   deadlines_.drop(line.limit);  // it may still be heard while the next ones are asked
   return line_id;
 }
@@ -506,13 +477,7 @@
   Line* line = lines_.find(id);
   std::string whole;
   for (const std::string& event : line->framer.feed(bytes)) {
-    if (event.starts_with(kLoadComment)) {
-      line->ending.report = parse_report(std::string_view(event).substr(kLoadComment.size()));
-    } else if (event.find("\"cached_tokens\"") != std::string::npos) {
-      const Json usage = Json::parse(http::event_field(event, "data"), nullptr, false);
-      const auto path = Json::json_pointer("/usage/prompt_tokens_details");
-      if (usage.is_object() && usage.contains(path)) line->ending.note = cached_tokens(usage.at(path));
-    }
+    note_event(event, line->ending);
     whole += event;
   }
   if (whole.empty()) return;
@@ -563,7 +528,9 @@
   const std::string lease = line.id;
   const std::string host = line.host;
   const int status = static_cast<int>(line.reader.message().result_int());
-  const core::Ending ending = judge(line);
+  const core::Ending ending = judge(line.reader.message(), line.framer.rest(), line.ending);
+  if (kind == Kind::kAttempt && !is_usual(status))
+    log_("host " + host + " answered " + std::to_string(status));
   // Bytes past the answer are nobody's, and a connection that would be closed is not kept.
   if (line.reader.keep_alive() && line.connection->input().empty() && line.sent) {
     park(id);
@@ -579,54 +546,4 @@
   if (engine_ != nullptr) engine_->released(lease);
 }
 
-core::Ending Pool::judge(Line& line) {
-  core::Ending ending = line.ending;
-  const auto& message = line.reader.message();
-  const auto load = http::header(message, "X-Backend-Load");
-  if (!load.empty()) ending.report = parse_report(load);
-  const bool never_ran = http::header(message, "X-Unprocessed") == "1";
-  switch (message.result_int()) {
-    case 200: {  // a comment needs no blank line at the very end; anything else there is an event cut short
-      const std::string& rest = line.framer.rest();
-      if (rest.starts_with(kLoadComment)) ending.report = parse_report(rest.substr(kLoadComment.size()));
-      ending.verdict = rest.empty() || rest.front() == ':' ? Verdict::kServed : Verdict::kReset;
-      break;
-    }
-    case 202:
-      ending.verdict = Verdict::kRead;
-      ending.note = cached_tokens(Json::parse(message.body(), nullptr, false));
-      break;
-    case 410:
-      ending.verdict = never_ran ? Verdict::kFull : Verdict::kError;
-      ending.note = never_ran ? 1 : 0;
-      break;
-    case 503:
-    case 504:
-      ending.verdict = never_ran ? Verdict::kFull : Verdict::kError;
-      break;
-    default:
-      ending.verdict = Verdict::kError;
-      ending.unusable = refuses_request(message.result_int());
-      if (ending.unusable) ending.verdict = Verdict::kNeverSent;  // no sign of the replica's health
-      if (line.kind == Kind::kAttempt && message.result_int() != 500)
-        log_("host " + line.host + " answered " + std::to_string(message.result_int()));
-  }
-  return ending;
-}
-
-basaltvane::LoadReport Pool::parse_report(std::string_view text) {
-  const Json fields = Json::parse(text, nullptr, false);
-  if (!fields.is_object()) return {};
-  try {
-    const basaltvane::LoadReport report = basaltvane::wire::parse_load(fields);
-    const auto sound = [](const std::optional<double>& value) {
-      return !value || (*value >= 0 && *value < 1e6);
-    };
-    const bool all = sound(report.in_hand) && sound(report.memory_share) && sound(report.prompt_kilotokens);
-    return all ? report : basaltvane::LoadReport{};
-  } catch (const basaltvane::wire::WireError&) {
-    return {};  // the answer is good all the same
-  }
-}
-
 }  // namespace bitternferry::replica
--- a/src/replica/pool.hpp
+++ b/src/replica/pool.hpp
@@ -136,7 +136,6 @@
   void forget_gone();
   void end_exchange(Line& line);
   void complete(SlotId id);
-  core::Ending judge(Line& line);
   void park(SlotId id);
   void drop(SlotId id) override;
   void drop_idle(Host& host);
@@ -146,7 +145,6 @@
   SlotId call_release(const std::string& host, const std::string& id) override;
   std::vector<reach::Listener> listeners() override;
   void fail_later(AttemptId attempt, Verdict verdict);
-  basaltvane::LoadReport parse_report(std::string_view text);
 
   boost::asio::io_context& io_;
   core::Deadlines& deadlines_;
--- a/tests/dispatcher/attempt_endings_test.cpp
+++ b/tests/dispatcher/attempt_endings_test.cpp
@@ -463,6 +463,16 @@
   CHECK(world.releases() == 0);
 }
 
+// The call to hold a place waits for its connection: written after the release, it would hold one for ever.
+TEST_CASE("a hold that still waits for its connection ends with the release", "[endings]") {
+  Direct world(read_well, write_well);
+  world.pool.hold({SlotId{}, 0}, "w1", "a1");
+  world.pool.release("a1", {});
+  world.advance(milliseconds(200));
+  CHECK(world.total("POST", true, "a1") == 0);
+  CHECK(world.releases() >= 1);
+}
+
 struct Cut : Clockwork {
   Cut() {
     pool.hosts({{"h1", peer.address(), true, false, "z"}, {"h2", peer.address(), true, false, "z"}}, true);
--- a/tests/dispatcher/engine_test.cpp
+++ b/tests/dispatcher/engine_test.cpp
@@ -316,6 +316,38 @@
   CHECK(rig.story == Rig::Story{"send r", "abandon"});
 }
 
+// Half written, it can't have run: no sign of its host's health, and nothing left.
+TEST_CASE("what was not written whole as its client left leaves nothing to let go of", "[core]") {
+  Rig rig;
+  rig.delivered = false;
+  const auto id = rig.submit("a");
+  rig.engine.client_gone(id);
+  rig.advance(milliseconds(400));
+  CHECK(rig.story == Rig::Story{"send r", "abandon"});
+  CHECK(rig.engine.open() == 0);
+}
+
+// Its first byte ended the calls for the read that broke, which may still run.
+TEST_CASE("an attempt that timed out half written has what runs on asked for again", "[core]") {
+  Rig rig;
+  auto rules = make_settings();
+  rules.may_cancel = false;
+  rig.engine.adopt(std::make_shared<const basaltvane::Settings>(rules));
+  rig.submit("a", "ask");
+  rig.connected = false;
+  rig.engine.ended(rig.sent[0], {Verdict::kReset, 0, {}});
+  rig.advance(milliseconds(100));
+  const auto releases = [&] { return std::count(rig.story.begin(), rig.story.end(), "release"); };
+  REQUIRE(releases() == 1);
+  rig.connected = true;
+  rig.delivered = false;
+  rig.advance(seconds(3) - milliseconds(100));
+  CHECK(releases() == 1);
+  rig.advance(milliseconds(200));
+  CHECK(rig.engine.open() == 0);
+  CHECK(releases() == 2);
+}
+
 TEST_CASE("an attempt whose client has gone is not wanted, and ends its request unanswered", "[core]") {
   Rig rig;
   const auto id = rig.submit("a");
