--- a/src/replica/pool.cpp
+++ b/src/replica/pool.cpp
@@ -15,8 +15,8 @@
 constexpr std::size_t kMostOut = http::kMostBody + 2 * http::kMostHead;
 constexpr double kIdlePart = 0.6;  // of the replica's idle time, after which a connection is used no more
 
-// No first byte goes to a replica drained for so long. Of the grace, a part is for the way.
-Duration drain_care(Duration grace) { return std::min<Duration>(milliseconds(150), grace * 3 / 5); }
+// No first byte goes to a replica drained for so long: the rest of the grace is for the way.
+Duration drain_care(Duration grace) { return grace * 3 / 5; }
 
 // A kept connection may bring a second answer some milliseconds after the first, which would be passed off as
 // the answer to the next request on it. Whatever comes while it rests closes it.
--- a/tests/dispatcher/attempt_endings_test.cpp
+++ b/tests/dispatcher/attempt_endings_test.cpp
@@ -217,7 +217,7 @@
 
 TEST_CASE("a drain told while a connection comes up keeps the first byte back past part of the grace",
           "[endings]") {
-  const auto grace = GENERATE(milliseconds(100), milliseconds(250));
+  const auto grace = GENERATE(milliseconds(100), milliseconds(250), milliseconds(1000));
   const bool late = GENERATE(false, true);
   Direct world(read_well, write_well);
   replica::Options options{milliseconds(250), seconds(15), milliseconds(50)};
