A seeded test crosses the ends of attempts at random against what replicas may do

Replicas that answer, turn away, break, run on after a break and keep silent by dice, clients that leave, with and without the right to cancel, eight seeds. No command runs twice, no state stays held for longer than the pin limit and 300 ms while no attempt of its request is out, nothing is left open. StandInReplica notes the time left that it was told.

--- a/tests/dispatcher/attempt_endings_test.cpp
+++ b/tests/dispatcher/attempt_endings_test.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <array>
+#include <random>
+#include <set>
 
 #include "world.hpp"
 
@@ -513,5 +515,127 @@
   CHECK(world.pool.leases_out() == 2);
 }
 
+// ---- all of it together ----
+
+// Replicas that do whatever they may, and what they then hold and have run.
+struct Chaos {
+  explicit Chaos(unsigned seed) : random(seed) {}
+  int roll() { return std::uniform_int_distribution<int>(0, 99)(random); }
+  core::Duration wait(int most_ms) { return milliseconds(roll() * most_ms / 100); }
+  core::Time now() const { return world.now; }
+  void hold(const std::string& id) {
+    if (!begun.contains(id)) held[id] = now();
+  }
+  void read(StandInReplica& r, SlotId client, const Seen& seen) {
+    const int dice = roll();
+    if (dice < 40) {
+      r.say(client, 202, "{}");
+      hold(seen.id);
+    } else if (dice < 65) {
+      r.server.cut(client);
+      if (dice < 55)
+        left_later.emplace_back(now() + std::min<core::Duration>(wait(1500), seen.left), seen.id);
+    } else if (dice < 75) {
+      r.say(client, 503, {}, true);
+    } else {
+      out[{&r, client}] = seen.id;
+      if (dice < 90) answered_later.push_back({now() + wait(400), &r, client});
+    }
+  }
+  void write(StandInReplica& r, SlotId client, const Seen& seen) {
+    const int dice = roll();
+    if (!held.contains(seen.id)) return r.say(client, 410, {}, true);
+    if (dice < 20) return r.say(client, 503, {}, true);
+    ++ran[seen.id];
+    if (dice < 50) {
+      begun.insert(seen.id);
+      held.erase(seen.id);
+      r.stream(client, {"a"});
+    } else if (dice < 70) {
+      if (dice < 60) held.erase(seen.id);  // fetched
+      r.server.cut(client);
+    } else if (dice < 85) {
+      r.say(client, 500);
+    } else {
+      out[{&r, client}] = seen.id;
+    }
+  }
+  void step() {
+    world.advance(milliseconds(20));
+    for (auto& replica : world.replicas) {
+      std::size_t& known = read_up_to[replica.get()];
+      for (; known < replica->seen.size(); ++known) {
+        const Seen& seen = replica->seen[known];
+        if (seen.method == "DELETE") held.erase(seen.target.substr(seen.target.rfind('/') + 1));
+      }
+      for (const SlotId gone : replica->gone) out.erase({replica.get(), gone});
+    }
+    std::erase_if(left_later, [&](const auto& entry) {
+      if (entry.first <= now()) hold(entry.second);
+      return entry.first <= now();
+    });
+    std::erase_if(answered_later, [&](const Later& later) {
+      if (later.at > now()) return false;
+      if (const auto it = out.find({later.replica, later.client}); it != out.end()) {
+        later.replica->say(later.client, 202, "{}");
+        hold(it->second);
+        out.erase(it);
+      }
+      return true;
+    });
+    for (auto& [id, since] : held) {
+      const bool waits = std::any_of(out.begin(), out.end(), [&](const auto& o) { return o.second == id; });
+      if (waits) since = now();
+      if (now() - since > world.settings.pin_limit + milliseconds(300)) pinned.insert(id);
+    }
+  }
+  struct Later {
+    core::Time at;
+    StandInReplica* replica;
+    SlotId client;
+  };
+  std::mt19937 random;
+  std::map<std::string, core::Time> held;  // since when, with no attempt out
+  std::map<std::pair<StandInReplica*, SlotId>, std::string> out;
+  std::map<std::string, int> ran;
+  std::set<std::string> begun, pinned;
+  std::vector<std::pair<core::Time, std::string>> left_later;
+  std::vector<Later> answered_later;
+  std::map<StandInReplica*, std::size_t> read_up_to;
+  Direct world{[this](StandInReplica& r, SlotId c, const Seen& s) { read(r, c, s); },
+               [this](StandInReplica& r, SlotId c, const Seen& s) { write(r, c, s); }};
+};
+
+TEST_CASE("whatever crosses, no command runs twice and nothing stays held", "[endings]") {
+  const unsigned seed = GENERATE(1U, 2U, 3U, 4U, 5U, 6U, 7U, 8U);
+  CAPTURE(seed);
+  Chaos chaos(seed);
+  Direct& world = chaos.world;
+  auto rules = make_settings();
+  rules.may_cancel = seed % 2 == 0;
+  world.adopt(rules);
+  world.pool.adopt({milliseconds(250), seconds(15), milliseconds(50)});
+  std::vector<SlotId> requests;
+  for (int i = 0; i < 250; ++i) {
+    if (chaos.roll() < 40) {
+      const std::string id = std::to_string(i);
+      requests.push_back(world.submit(id, i % 2 == 0 ? "command" : "ask"));
+    }
+    if (!requests.empty() && chaos.roll() < 15)
+      world.engine.client_gone(requests[static_cast<std::size_t>(chaos.roll()) % requests.size()]);
+    chaos.step();
+  }
+  for (int i = 0; i < 500; ++i) chaos.step();
+  CHECK(chaos.pinned == std::set<std::string>{});
+  CHECK(chaos.held.empty());
+  CHECK(world.engine.open() == 0);
+  CHECK(world.engine.unanswered() == 0);
+  CHECK(world.pool.leases_out() == 0);
+  CHECK(chaos.begun.size() > 3);  // some are served all the same
+  for (const auto& [id, runs] : chaos.ran) {
+    if (std::stoi(id) % 2 == 0) CHECK(runs == 1);
+  }
+}
+
 }  // namespace
 }  // namespace bitternferry::testing
--- a/tests/dispatcher/world.cpp
+++ b/tests/dispatcher/world.cpp
@@ -42,6 +42,8 @@
   const auto text = [](const auto& view) { return std::string(view.data(), view.size()); };
   seen.push_back({text(request.method_string()), text(request.target()),
                   std::string(http::header(request, "X-Correlation-Id")), request.body()});
+  const std::string left = text(http::header(request, "X-Time-Left-Ms"));
+  if (!left.empty()) seen.back().left = milliseconds(std::stoll(left));
   const Seen now = seen.back();
   if (now.method == "DELETE") return server.answer(client, 204, {}, {});
   waiting.push_back(client);
--- a/tests/dispatcher/world.hpp
+++ b/tests/dispatcher/world.hpp
@@ -69,6 +69,7 @@
  public:
   struct Seen {
     std::string method, target, id, body;
+    milliseconds left{};  // as it was told
   };
   using Script = std::function<void(StandInReplica&, SlotId, const Seen&)>;
   StandInReplica(Clockwork& work, Script script, const http::ServerOptions& options = {})
