--- a/tests/dispatcher/world.hpp
+++ b/tests/dispatcher/world.hpp
@@ -70,6 +70,7 @@
   struct Seen {
     std::string method, target, id, body;
     boost::beast::http::fields head = {};
+    milliseconds left{};  // as it was told
   };
   using Script = std::function<void(StandInReplica&, SlotId, const Seen&)>;
   StandInReplica(Clockwork& work, Script script, const http::ServerOptions& options = {})
