--- a/tests/dispatcher/attempt_endings_test.cpp
+++ b/tests/dispatcher/attempt_endings_test.cpp
@@ -27,7 +27,8 @@
   Direct(Script reader, Script writer) : World(std::move(reader), std::move(writer)) {}
   SlotId submit(const std::string& id, const std::string& cls = "ask", std::size_t size = 40) {
     auto message = std::make_shared<core::Message>();
-    *message = {id, "POST", "/v1/chat/completions", "application/json", std::string(size, 'x')};
+    *message = {id, "POST", "/v1/chat/completions", "Content-Type: application/json\r\n",
+                std::string(size, 'x')};
     basaltvane::Request r;
     r.id = id;
     r.request_class = cls;
