--- a/src/router.cpp
+++ b/src/router.cpp
@@ -217,7 +217,7 @@
 
   // What a role's hosts show together: one router sees too little of each.
   struct Pool {
-    double ready = 0, ejected = 0, warm = 0, lag = 0, busy = 0, tokens = 0, memory = 0, reports = 0, sent = 0;
+    double ready = 0, ejected = 0, warm = 0, lag = 0, busy = 0, tokens = 0, memory = 0, reports = 0;
   };
   Pool pool(Role role) const {
     Pool p;
@@ -231,9 +231,8 @@
       p.tokens += 1000 * h.report.prompt_kilotokens.value_or(0);
       p.memory += h.report.memory_share.value_or(0);
       p.reports += h.report.prompt_kilotokens || h.report.memory_share ? 1 : 0;
-      p.sent += h.report.prompt_kilotokens ? h.tokens_since_report : 0;
     }
-    for (double* sum : {&p.tokens, &p.sent, &p.memory}) *sum /= std::max(1.0, p.reports);
+    for (double* sum : {&p.tokens, &p.memory}) *sum /= std::max(1.0, p.reports);
     return p;
   }
 
@@ -388,11 +387,10 @@
     return mean + (value - mean) * std::exp2(-seconds(now_ - h.reported_at) / seconds(kReportFade));
   }
 
-  // Reported work plus our sends since, else our sends out; never heard of, the average. A slow or cold host
-  // has less to do it with.
+  // Reported work plus our sends since, else our sends out. A slow or cold host has less to do it with. One
+  // that was never heard of counts as idle: as the average, 300 routers that hear little found out less.
   double load(const Host& h, const Pool& p) const {
-    const bool unheard = h.tokens_since_report <= 0 && h.reported_at == Time{};
-    double tokens = unheard ? p.tokens + p.sent : h.read_tokens;
+    double tokens = h.read_tokens;
     if (const auto& told = h.report.prompt_kilotokens; told)
       tokens = reported(1000 * *told, p.tokens, h) + h.tokens_since_report;
     if (h.role == Role::kMixed) tokens += h.streams * kBaseTokens;
