Failing reproduction of the incident: attempts on a silent link keep their reservations

A real daemon behind proxies whose links fall silent while connections stay open, with stand-in replicas that hold states. The verdict is the order of events at replicas and clients, not a duration. The starting of daemons moves out of confine_test.cpp into a fixture that both use.

--- a/tests/confine/confine_test.cpp
+++ b/tests/confine/confine_test.cpp
@@ -2,137 +2,37 @@
 // serve a streamed answer, take a new file at SIGHUP and drain at SIGTERM, and try nothing that is refused
 // there.
 #include <signal.h>
-#include <spawn.h>
 #include <sys/resource.h>
-#include <sys/wait.h>
-#include <unistd.h>
 
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 
+#include "tests/fixtures/child_process.hpp"
 #include "tests/fixtures/dispatcher_fixture.hpp"
 #include "tests/service_discovery/endpoint_watcher_fixture.hpp"
 
-extern char** environ;
-
 namespace dispatcher::testing {
 namespace {
 
-namespace fs = std::filesystem;
-
-std::string read_all(const fs::path& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
-// A port that nobody holds right now: the daemon must be told where to listen before it starts.
-int free_port() {
-  boost::asio::io_context io;
-  net::tcp::acceptor acceptor(io, loopback());
-  return acceptor.local_endpoint().port();
-}
-
-std::string dial(const FakeReplica& replica) {
-  return "127.0.0.1:" + std::to_string(replica.server.local().port());
-}
-
-std::string configuration(int port, int discovery_port, const FakeReplica& reader,
-                          const FakeReplica& writer) {
-  const auto endpoint = [](const char* name, const char* kind, const std::string& at) {
-    return std::string(R"({"host":")") + name + R"(","dial":")" + at + R"(","site":"here","class":")" + kind +
-           R"(","block":0,"health":"up","share":1.0,"born_ms":0})";
-  };
-  return R"({"name":"n1","listen":"127.0.0.1:)" + std::to_string(port) + R"(","discovery":"127.0.0.1:)" +
-         std::to_string(discovery_port) + R"(","seed":"7","limits":{"memory_mb":32,"sockets":256},
-    "settings":{"myNumber":0,"balancers":1,"myZone":"here","granularityMs":4.0,"hostTypes":["reader","writer"],
-      "registryMode":"push","categories":[
-        {"name":"ask","repeat":"safe","objectiveMs":1200.0,"deadlineMs":6000.0,"worth":1.0},
-        {"name":"command","repeat":"unsafe","objectiveMs":800.0,"deadlineMs":3000.0,"worth":5.0}],
-      "familyInfo":{"dutyByKind":["read","write"],"pinLimitMs":300.0},
-      "limits":{"mostTries":4,"connectTimeoutMs":250.0,"idleCloseMs":15000.0},
-      "guarantees":{"answerSlackMs":16.0,"drainGraceMs":250.0,"coldShare":0.3,"coldMs":14000.0,
-        "tipMultiple":4.0,"tipAfterMs":2000.0}},
-    "known":{"seq":1,"whole":true,"hosts":[)" +
-         endpoint("r1", "reader", dial(reader)) + "," + endpoint("w1", "writer", dial(writer)) + "]}}";
-}
-
-// One confined process of a program, with its folder, its log and the stand-in's report. Owns process and
-// folder: both are gone when it is destroyed.
-class ConfinedProcess {
+// A process under the stand-in, which reports what it denied.
+class ConfinedProcess : public ChildProcess {
  public:
-  ConfinedProcess(const std::string& program, std::vector<std::string> more_environment) {
-    char pattern[] = "/tmp/bitternferry-confine-XXXXXX";
-    folder_ = ::mkdtemp(pattern);
-    std::vector<std::string> environment{"LD_PRELOAD=" + std::string(CONFINE_LIBRARY),
-                                         "CONFINE_REPORT=" + (folder_ / "report").string(),
-                                         "PROXY_CONFIG=" + config().string(), "PATH=/usr/bin:/bin",
-                                         "ASAN_OPTIONS=detect_leaks=0:verify_asan_link_order=0"};
-    for (std::string& more : more_environment) environment.push_back(std::move(more));
-    environment_ = std::move(environment);
-    program_ = program;
-  }
-  ~ConfinedProcess() {
-    if (pid_ > 0 && !has_ended_) {
-      ::kill(pid_, SIGKILL);
-      ::waitpid(pid_, nullptr, 0);
-    }
-    std::error_code ignored;
-    fs::remove_all(folder_, ignored);
-  }
-  [[nodiscard]] fs::path config() const { return folder_ / "config.json"; }
-  [[nodiscard]] const fs::path& folder() const { return folder_; }
-  void write_config(const std::string& text) const { std::ofstream(config()) << text; }
-  void start() {
-    std::vector<char*> env;
-    for (std::string& variable : environment_) env.push_back(variable.data());
-    env.push_back(nullptr);
-    std::string name = program_;
-    char* argv[] = {name.data(), nullptr};
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    const std::string log = (folder_ / "log").string();
-    posix_spawn_file_actions_addopen(&actions, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    REQUIRE(::posix_spawn(&pid_, program_.c_str(), &actions, nullptr, argv, env.data()) == 0);
-    posix_spawn_file_actions_destroy(&actions);
-  }
-  [[nodiscard]] std::string log() const { return read_all(folder_ / "log"); }
-  [[nodiscard]] std::string report() const { return read_all(folder_ / "report"); }
-  void signal(int number) const { ::kill(pid_, number); }
-  // The status that it ended with; -1 if it has not ended within the bound, which only ends a failed test.
-  int wait_end() {
-    for (int i = 0; i < 2000; ++i) {
-      int status = 0;
-      if (::waitpid(pid_, &status, WNOHANG) == pid_) {
-        has_ended_ = true;
-        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
-      }
-      std::this_thread::sleep_for(milliseconds(10));
-    }
-    return -1;
+  ConfinedProcess(const std::string& program, std::vector<std::string> environment)
+      : ChildProcess(program, std::move(environment)) {
+    add_environment("LD_PRELOAD=" + std::string(CONFINE_LIBRARY));
+    add_environment("CONFINE_REPORT=" + report_path().string());
   }
+  [[nodiscard]] std::string report() const { return read_file(report_path()); }
 
  private:
-  fs::path folder_;
-  std::vector<std::string> environment_;
-  std::string program_;
-  pid_t pid_ = 0;
-  bool has_ended_ = false;
+  [[nodiscard]] std::filesystem::path report_path() const { return folder() / "report"; }
 };
 
-// Asks /healthz until the daemon answers, as the platform's front does before it sends anything.
-bool becomes_healthy(TestEventLoop& work, int port) {
-  const net::tcp::endpoint at(boost::asio::ip::address_v4::loopback(), static_cast<unsigned short>(port));
-  for (int i = 0; i < 200; ++i) {
-    FakeClient client(work, at);
-    client.get("/healthz");
-    if (work.until([&] { return client.is_finished(); }) && client.status == 200) return true;
-    std::this_thread::sleep_for(milliseconds(20));
-  }
-  return false;
+std::string configuration(int port, int discovery_port, const FakeReplica& reader,
+                          const FakeReplica& writer) {
+  return DaemonConfigText{port,
+                          discovery_port,
+                          {{"r1", "reader", reader.server.local()}, {"w1", "writer", writer.server.local()}}}
+      .text();
 }
 
 // The writers never answer it.
--- /dev/null
+++ b/tests/fault_injection/reservation_faults_test.cpp
@@ -0,0 +1,256 @@
+// Reservations under faults, on a real daemon: whatever a replica holds for a request is fetched or released
+// while the client still waits, also where an attempt was written to a link that delivers nothing. Verdicts
+// follow from the order of events at the stand-in replicas and clients, not from durations.
+#include <signal.h>
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/fixtures/child_process.hpp"
+#include "tests/fixtures/dispatcher_fixture.hpp"
+#include "tests/fixtures/fault_proxy.hpp"
+
+namespace dispatcher::testing {
+namespace {
+
+// What the replicas hold for requests, as the protocol has it: a read leaves a state, a writer fetches it, a
+// release ends it unless a writer that has received the request waits for it.
+class ReservationLedger {
+ public:
+  void on_read(const std::string& id) { held_.insert(id); }
+  // Whether the writer finds a state to fetch.
+  [[nodiscard]] bool fetch(const std::string& id) { return held_.erase(id) > 0; }
+  void on_release(const std::string& id) {
+    held_.erase(id);
+    ++releases_[id];
+  }
+  [[nodiscard]] bool is_held(const std::string& id) const { return held_.contains(id); }
+  [[nodiscard]] std::size_t held_count() const { return held_.size(); }
+  [[nodiscard]] int releases(const std::string& id) const {
+    const auto it = releases_.find(id);
+    return it == releases_.end() ? 0 : it->second;
+  }
+
+ private:
+  std::set<std::string> held_;
+  std::map<std::string, int> releases_;
+};
+
+// A daemon with two readers and two writers, each behind a proxy.
+class FaultSite {
+ public:
+  explicit FaultSite(Cancellation cancellation = Cancellation::kAllowed) {
+    const auto read = [this](FakeReplica& replica, SlotId client, const ReceivedRequest& request) {
+      on_read_request(replica, client, request);
+    };
+    const auto write = [this](FakeReplica& replica, SlotId client, const ReceivedRequest& request) {
+      on_write_request(replica, client, request);
+    };
+    add_replica("r1", "reader", read);
+    add_replica("r2", "reader", read);
+    add_replica("w1", "writer", write);
+    add_replica("w2", "writer", write);
+    DaemonConfigText config{free_port(), 1, {}, cancellation};
+    for (const Replica& replica : replicas_)
+      config.replicas.push_back({replica.name, replica.kind, replica.proxy->address()});
+    port_ = config.port;
+    daemon.write_config(config.text());
+    daemon.add_environment("BITTERNFERRY_LOG_REQUESTS=1");
+    daemon.start();
+    REQUIRE(becomes_healthy(loop, port_));
+  }
+
+  std::unique_ptr<FakeClient> post(const std::string& id, const std::string& request_class,
+                                   int time_left_ms = 3000) {
+    const auto address = boost::asio::ip::address_v4::loopback();
+    auto client =
+        std::make_unique<FakeClient>(loop, net::tcp::endpoint(address, static_cast<unsigned short>(port_)));
+    client->post(platform_headers(id, request_class, time_left_ms), kPlatformBody);
+    return client;
+  }
+  // Waits in real time; the number of rounds only ends a test that has failed.
+  template <class Condition>
+  bool until(Condition condition) {
+    constexpr int kMaxRounds = 10;
+    for (int round = 0; round < kMaxRounds; ++round) {
+      if (loop.until(condition)) return true;
+    }
+    return false;
+  }
+  // Has some requests served, so that the daemon keeps connections to replicas of both kinds.
+  void open_connections() {
+    constexpr int kRequests = 8;
+    for (int i = 0; i < kRequests; ++i) {
+      const auto client = post("aaaa" + std::to_string(1000 + i), "ask");
+      REQUIRE(until([&] { return client->is_finished(); }));
+      REQUIRE(client->status == 200);
+    }
+  }
+  // The links to all replicas of a kind.
+  std::vector<FaultProxy*> links(const std::string& kind) {
+    std::vector<FaultProxy*> found;
+    for (const Replica& replica : replicas_) {
+      if (replica.kind == kind) found.push_back(replica.proxy.get());
+    }
+    return found;
+  }
+  [[nodiscard]] int attempts(const std::string& kind, const std::string& id) const {
+    int count = 0;
+    for (const Replica& replica : replicas_) {
+      if (replica.kind == kind) count += replica.server->count("POST", id);
+    }
+    return count;
+  }
+  // Whether a request is held back by a link to a replica of this kind.
+  [[nodiscard]] bool is_undelivered(const std::string& kind) const {
+    return std::any_of(replicas_.begin(), replicas_.end(), [&](const Replica& replica) {
+      return replica.kind == kind && replica.proxy->is_holding_back(FaultProxy::Direction::kToReplica);
+    });
+  }
+
+  TestEventLoop loop;
+  ReservationLedger ledger;
+  // Reads of these requests are not answered until the test does so.
+  std::set<std::string> slow_reads;
+  // The first read of these requests leaves a state and breaks its connection.
+  std::set<std::string> broken_reads;
+  ChildProcess daemon{DISPATCHER_DAEMON};
+
+ private:
+  struct Replica {
+    std::string name;
+    std::string kind;
+    std::unique_ptr<FakeReplica> server;
+    std::unique_ptr<FaultProxy> proxy;
+  };
+
+  void add_replica(const std::string& name, const std::string& kind, const FakeReplica::Behavior& behavior) {
+    auto server = std::make_unique<FakeReplica>(loop, behavior);
+    server->release_handler = [this](const std::string& id) { ledger.on_release(id); };
+    auto proxy = std::make_unique<FaultProxy>(loop, server->server.local());
+    replicas_.push_back({name, kind, std::move(server), std::move(proxy)});
+  }
+  void on_read_request(FakeReplica& replica, SlotId client, const ReceivedRequest& request) {
+    if (slow_reads.contains(request.id)) return;
+    ledger.on_read(request.id);
+    if (broken_reads.erase(request.id) > 0) return replica.server.abort(client);
+    replica.respond(client, 202, R"({"cached_tokens":0})");
+  }
+  void on_write_request(FakeReplica& replica, SlotId client, const ReceivedRequest& request) {
+    if (!ledger.fetch(request.id)) return replica.reject_unprocessed(client, 410);
+    replica.stream_words(client, {"yes"});
+  }
+  std::vector<Replica> replicas_;
+  int port_ = 0;
+};
+
+void silence(const std::vector<FaultProxy*>& links) {
+  for (FaultProxy* link : links) link->silence_both();
+}
+
+// The incident: the link to the writer falls silent under a connection that is kept open, and the state that
+// the reader holds is released only when the request's time is over.
+TEST_CASE("a reservation is released in time though an attempt was written that never arrives", "[faults]") {
+  SECTION("to a writer, by each class, with and without cancellation") {
+    const auto* request_class = GENERATE("command", "ask");
+    const auto cancellation = GENERATE(Cancellation::kAllowed, Cancellation::kForbidden);
+    FaultSite site(cancellation);
+    site.open_connections();
+    silence(site.links("writer"));
+    const auto client = site.post("bbbb01", request_class);
+    REQUIRE(site.until([&] { return site.ledger.is_held("bbbb01"); }));
+    REQUIRE(site.until([&] { return !site.ledger.is_held("bbbb01") || client->is_finished(); }));
+    CHECK_FALSE(client->is_finished());
+    CHECK(site.until([&] { return client->is_finished(); }));
+    CHECK(site.ledger.held_count() == 0);
+    // What was held back arrives late: the writer has nothing to fetch, and nothing runs.
+    for (FaultProxy* link : site.links("writer")) link->restore();
+    CHECK(site.until([&] { return !site.is_undelivered("writer"); }));
+    CHECK(site.ledger.held_count() == 0);
+  }
+  SECTION("to writers, by many requests at once") {
+    constexpr int kRequests = 40;
+    FaultSite site;
+    site.open_connections();
+    silence(site.links("writer"));
+    std::vector<std::unique_ptr<FakeClient>> clients;
+    for (int i = 0; i < kRequests; ++i)
+      clients.push_back(site.post("cccc" + std::to_string(1000 + i), i % 2 == 0 ? "command" : "ask"));
+    const auto has_answer = [](const auto& client) { return client->is_finished(); };
+    std::size_t reads = 0;
+    REQUIRE(site.until([&] {
+      reads = 0;
+      for (int i = 0; i < kRequests; ++i) {
+        const std::string id = "cccc" + std::to_string(1000 + i);
+        if (site.attempts("reader", id) > 0) ++reads;
+      }
+      return reads == kRequests;
+    }));
+    REQUIRE(site.until([&] {
+      return site.ledger.held_count() == 0 || std::any_of(clients.begin(), clients.end(), has_answer);
+    }));
+    CHECK(site.ledger.held_count() == 0);
+  }
+  SECTION("to a second reader, after a first one whose state may be left") {
+    FaultSite site;
+    site.open_connections();
+    site.broken_reads.insert("dddd01");
+    for (FaultProxy* link : site.links("reader")) link->silence(FaultProxy::Direction::kToReplica);
+    const auto client = site.post("dddd01", "command");
+    REQUIRE(site.until([&] { return site.is_undelivered("reader"); }));
+    // One link delivers the read, which leaves a state and breaks; the next attempt's link stays silent.
+    const std::vector<FaultProxy*> links = site.links("reader");
+    const bool is_at_first = links[0]->is_holding_back(FaultProxy::Direction::kToReplica);
+    links[is_at_first ? 0 : 1]->restore();
+    REQUIRE(site.until([&] { return site.ledger.is_held("dddd01"); }));
+    REQUIRE(site.until([&] { return !site.ledger.is_held("dddd01") || client->is_finished(); }));
+    CHECK_FALSE(client->is_finished());
+    CHECK(site.ledger.releases("dddd01") > 0);
+  }
+  SECTION("to a writer, during a drain") {
+    FaultSite site;
+    site.open_connections();
+    silence(site.links("writer"));
+    const auto client = site.post("eeee01", "command");
+    REQUIRE(site.until([&] { return site.ledger.is_held("eeee01"); }));
+    site.daemon.signal(SIGTERM);
+    site.daemon.signal(SIGHUP);
+    site.daemon.signal(SIGTERM);
+    REQUIRE(site.until([&] { return !site.ledger.is_held("eeee01") || client->is_finished(); }));
+    CHECK_FALSE(client->is_finished());
+    CHECK(site.until([&] { return client->is_finished(); }));
+    CHECK(site.until([&] { return site.daemon.has_ended(); }));
+    CHECK(site.daemon.wait_end() == 0);
+  }
+  SECTION("to a writer, by a daemon that was stopped for a moment") {
+    FaultSite site;
+    site.open_connections();
+    silence(site.links("writer"));
+    const auto client = site.post("eeee02", "command");
+    REQUIRE(site.until([&] { return site.ledger.is_held("eeee02"); }));
+    site.daemon.signal(SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(150));
+    site.daemon.signal(SIGCONT);
+    REQUIRE(site.until([&] { return !site.ledger.is_held("eeee02") || client->is_finished(); }));
+    CHECK_FALSE(client->is_finished());
+  }
+  SECTION("as its end did not: the read is cancelled, and leaves a state all the same") {
+    FaultSite site;
+    site.open_connections();
+    site.slow_reads.insert("ffff01");
+    const auto client = site.post("ffff01", "command");
+    REQUIRE(site.until([&] { return site.attempts("reader", "ffff01") == 1; }));
+    silence(site.links("reader"));
+    client->close();
+    REQUIRE(site.until([&] { return site.ledger.releases("ffff01") > 0; }));
+    site.ledger.on_read("ffff01");
+    CHECK(site.until([&] { return !site.ledger.is_held("ffff01"); }));
+  }
+}
+
+}  // namespace
+}  // namespace dispatcher::testing
