--- a/include/routing/actions.hpp
+++ b/include/routing/actions.hpp
@@ -28,15 +28,30 @@
   int attempt{};
 };
 
+// Why a request gets a final answer without being served, for the log of requests.
+enum class GiveUpReason {
+  kUnknownClass,             // its class is not in the settings
+  kLoadShed,                 // shed on arrival: first tokens are late
+  kNoEndpoint,               // no endpoint is eligible, and waiting can't help
+  kAttemptsUsedUp,           // max_attempts are spent
+  kDeadlineNear,             // too little time is left for a further attempt
+  kDeduplicationWindowOver,  // a repeat would not be recognized any more
+  kReservationExpired,       // its prompt's state has waited too long for a writer
+  kMayHaveRun,               // not idempotent, and an attempt may have been executed
+  kNeverSent,                // the dispatcher refused to send its attempt
+};
+
 // Final answer: the client may safely send the request again.
 struct Reject {
   RequestId request;
   std::optional<Duration> retry_after;  // advice on when (HTTP's Retry-After); empty: none
+  GiveUpReason reason{};
 };
 
 // Final answer: the request failed and may have had effects.
 struct Fail {
   RequestId request;
+  GiveUpReason reason{};
 };
 
 // Ends a running stream so that its client sends the request again and continues at another endpoint.
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -43,6 +43,12 @@
           *this};
 }
 
+void Dispatcher::log_requests() {
+  parts_.engine.set_request_log(engine::RequestLog(parts_.log));
+  parts_.replica_client.set_connection_log(upstream::ConnectionLog(parts_.log));
+  for (http::Server* server : parts_.client_servers()) server->set_connection_log(parts_.log);
+}
+
 void Dispatcher::start() {
   await_signal();
   if (parts_.admin_server) {
--- a/src/daemon/dispatcher.hpp
+++ b/src/daemon/dispatcher.hpp
@@ -27,8 +27,8 @@
   // Takes over from a running process, if there is one, then serves. Throws boost::system::system_error where
   // an address can't be bound.
   void start();
-  // Logs each event of each request from now on: docs/on-call.md.
-  void log_requests() { parts_.engine.set_request_log(engine::RequestLog(parts_.log)); }
+  // Logs each event of each request and the end of each connection from now on: docs/on-call.md.
+  void log_requests();
   // What SIGHUP does: reads all files again. Where one of them is invalid, nothing changes.
   void reload() { reloader_.reload(); }
   // What SIGTERM does: accepts connections for a while longer, finishes all work, then ends the loop.
--- a/src/engine/action_executor.cpp
+++ b/src/engine/action_executor.cpp
@@ -12,6 +12,7 @@
   const SlotId slot = requests_.slot_of(action.request);
   const ActiveRequest* request = answer(slot, NotServedReason::kRejected);
   if (request == nullptr) return;
+  context_.request_log.log_rejected(request->id, action.reason);
   request->sink->reject(request->client, action.retry_after);
   requests_.remove_if_complete(slot);
 }
@@ -20,6 +21,7 @@
   const SlotId slot = requests_.slot_of(action.request);
   const ActiveRequest* request = answer(slot, NotServedReason::kFailed);
   if (request == nullptr) return;
+  context_.request_log.log_failed(request->id, action.reason);
   const bool is_late = request->has_timed_out || context_.clock() >= request->deadline;
   request->sink->fail(request->client, is_late ? Failure::kDeadlineExceeded : Failure::kUpstream);
   requests_.remove_if_complete(slot);
@@ -29,9 +31,11 @@
   const SlotId slot = requests_.slot_of(action.request);
   const ActiveRequest* request = answer(slot, NotServedReason::kFailed);
   if (request == nullptr) return;
+  context_.request_log.log_answered(request->id, "migrated");
   request->sink->abort_stream(request->client);
   if (request->streaming_attempt)
-    attempts_.terminate({slot, *request->streaming_attempt}, AttemptStatus::kCancelled);
+    attempts_.terminate({slot, *request->streaming_attempt}, AttemptStatus::kCancelled,
+                        AttemptEndReason::kStreamMigrated);
   requests_.remove_if_complete(slot);
 }
 
@@ -39,8 +43,6 @@
   ActiveRequest* request = requests_.find(slot);
   if (request == nullptr || request->is_answered) return nullptr;
   requests_.mark_answered(*request);
-  const bool is_rejected = reason == NotServedReason::kRejected;
-  context_.request_log.log_answered(request->id, is_rejected ? "refused" : "failed");
   if (context_.request_observer != nullptr && !request->streaming_attempt)
     context_.request_observer->on_request_not_served(request->request_class, reason);
   return request;
--- a/src/engine/attempt_manager.cpp
+++ b/src/engine/attempt_manager.cpp
@@ -32,15 +32,18 @@
   const Time deadline = has_own_deadline ? std::min(action.deadline, request->deadline) : request->deadline;
   if (!may_start(*request, deadline, now)) {
     attempt.is_active = false;
-    router_.handle(request->completion(id.number, AttemptStatus::kNeverSent, now));
+    const routing::AttemptCompleted completed =
+        request->completion(id.number, AttemptStatus::kNeverSent, now);
+    context_.request_log.log_attempt_completed(completed, AttemptEndReason::kNotStarted);
+    router_.handle(completed);
     return;
   }
   ++request->attempts_spent;
-  attempt.deadline_timer =
-      context_.timers.add(deadline, [this, id] { terminate(id, AttemptStatus::kTimeout); });
+  attempt.deadline_timer = context_.timers.add(
+      deadline, [this, id] { terminate(id, AttemptStatus::kTimeout, AttemptEndReason::kDeadline); });
   if (context_.hot_restart_observer != nullptr)
     context_.hot_restart_observer->on_attempt_started(action.endpoint);
-  context_.request_log.log_attempt_started(action.request, action.endpoint, id.number);
+  context_.request_log.log_attempt_started(action.request, action.endpoint, id.number, deadline - now);
   context_.upstream.start_attempt(id, action.endpoint, request->message, deadline, action.connect_by);
 }
 
@@ -53,10 +56,12 @@
   const SlotId slot = requests_.slot_of(action.request);
   const ActiveRequest* request = requests_.find(slot);
   if (request == nullptr || request->streaming_attempt == action.attempt) return;
-  terminate({slot, action.attempt}, AttemptStatus::kCancelled);
+  const AttemptEndReason reason =
+      request->is_answered ? AttemptEndReason::kClientDisconnected : AttemptEndReason::kCancelledByRouter;
+  terminate({slot, action.attempt}, AttemptStatus::kCancelled, reason);
 }
 
-void AttemptManager::terminate(AttemptId id, AttemptStatus status) {
+void AttemptManager::terminate(AttemptId id, AttemptStatus status, AttemptEndReason reason) {
   const ActiveAttempt active = requests_.find_active(id);
   if (!active) return;
   const bool had_connection = context_.upstream.has_connection(id);
@@ -65,7 +70,9 @@
   const bool broke_connection = had_connection && status == AttemptStatus::kConnectFailed;
   const AttemptEvidence evidence =
       broke_connection ? AttemptEvidence::kEndpointRunning : AttemptEvidence::kNone;
-  complete(id, {status, 0, evidence, {}});
+  AttemptResult result{status, 0, evidence, {}};
+  result.reason = reason;
+  complete(id, result);
 }
 
 void AttemptManager::terminate_unconnected(SlotId slot) {
@@ -74,7 +81,8 @@
     if (request == nullptr || number >= request->attempt_count()) return;
     if (!request->attempt(number).is_active || request->streaming_attempt == number) continue;
     const AttemptId id{slot, number};
-    if (!context_.upstream.has_connection(id)) terminate(id, AttemptStatus::kNeverSent);
+    if (!context_.upstream.has_connection(id))
+      terminate(id, AttemptStatus::kNeverSent, AttemptEndReason::kClientDisconnected);
   }
 }
 
@@ -99,7 +107,7 @@
   completed.cached_prompt_tokens = result.cached_prompt_tokens;
   completed.evidence = result.evidence;
   completed.report = result.report;
-  context_.request_log.log_attempt_completed(completed);
+  context_.request_log.log_attempt_completed(completed, result.reason);
   using ScheduledRelease = ReservationCleanup::ScheduledRelease;
   cleanup_.schedule_if_needed(id.request,
                               may_have_left_state ? ScheduledRelease::kPostpone : ScheduledRelease::kKeep);
--- a/src/engine/attempt_manager.hpp
+++ b/src/engine/attempt_manager.hpp
@@ -24,7 +24,7 @@
   void cancel(const routing::CancelAttempt& action);
   /// Ends an active attempt from this side, e.g. at its deadline or because its response is not needed any
   /// more.
-  void terminate(AttemptId id, AttemptStatus status);
+  void terminate(AttemptId id, AttemptStatus status, AttemptEndReason reason);
   /// Ends the attempts that still wait for a connection. They would be written after their client has
   /// disconnected, also where the settings don't let the router cancel anything.
   void terminate_unconnected(SlotId slot);
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -63,6 +63,7 @@
   ActiveRequest* request = requests_.find(slot);
   if (request == nullptr || request->is_answered) return;
   context_.log("request " + request->id.value() + " overdue: failed by the engine");
+  context_.request_log.log_answered(request->id, "overdue");
   request->sink->fail(request->client, Failure::kDeadlineExceeded);
   requests_.mark_answered(*request);
   router_.handle(routing::ClientGone{request->id});
@@ -79,7 +80,9 @@
   attempts_.terminate_unconnected(slot);
   router_.handle(routing::ClientGone{id});
   // The router does not cancel a running stream; its client has disconnected, so it must be cancelled here.
-  if (streaming_attempt) attempts_.terminate({slot, *streaming_attempt}, AttemptStatus::kCancelled);
+  if (streaming_attempt)
+    attempts_.terminate({slot, *streaming_attempt}, AttemptStatus::kCancelled,
+                        AttemptEndReason::kClientDisconnected);
   cleanup_.schedule_if_needed(slot, ReservationCleanup::ScheduledRelease::kKeep);
   requests_.remove_if_complete(slot);
 }
@@ -169,7 +172,14 @@
   return active.request->sink->is_client_connected(active.request->client);
 }
 
-void Engine::on_reservation_released(const RequestId& id) {
+void Engine::on_attempt_written(AttemptId id, ConnectionUse use) {
+  const ActiveAttempt active = requests_.find_active(id);
+  if (!active) return;
+  context_.request_log.log_attempt_written(active.request->id, active.attempt->endpoint, id.number, use);
+}
+
+void Engine::on_reservation_released(const RequestId& id, const ReleaseConfirmation& confirmation) {
+  context_.request_log.log_release_confirmed(id, confirmation);
   ActiveRequest* request = requests_.find(requests_.slot_of(id));
   if (request != nullptr) request->reservations.on_release_confirmed();
 }
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -106,8 +106,10 @@
   /// To be called right before an attempt's first byte is written. An attempt that is not needed any more
   /// completes as kNeverSent.
   [[nodiscard]] bool is_still_needed(AttemptId attempt);
-  /// The replicas have confirmed UpstreamClient::release_reservation().
-  void on_reservation_released(const RequestId& id);
+  /// An attempt's request was handed to its connection. Says nothing of whether it arrived.
+  void on_attempt_written(AttemptId attempt, ConnectionUse use);
+  /// A replica has confirmed UpstreamClient::release_reservation().
+  void on_reservation_released(const RequestId& id, const ReleaseConfirmation& confirmation);
 
   // ---- counts ----
 
--- a/src/engine/interfaces.hpp
+++ b/src/engine/interfaces.hpp
@@ -48,6 +48,28 @@
   auto operator<=>(const AttemptId&) const = default;
 };
 
+/// What ended an attempt, for the log of requests. Decisions follow from AttemptResult's other members.
+enum class AttemptEndReason {
+  kUnspecified,
+  kResponseComplete,
+  kInvalidRequest,       ///< the replica rejects the request as it is
+  kNoConnectionAllowed,  ///< a limit is reached, or the endpoint is unknown
+  kConnectTimeout,
+  kConnectRefused,    ///< the operating system reported an error
+  kEndpointChanged,   ///< drained or moved while the connection was being established
+  kConnectionClosed,  ///< by the replica or the network, once it was established
+  kEarlyResponse,     ///< bytes came before the request was written
+  kMalformedResponse,
+  kNoTimeLeft,  ///< less than a replica can be told
+  kDeadline,
+  kCancelledByRouter,
+  kClientDisconnected,
+  kStreamIdle,
+  kStreamMigrated,
+  kAlreadyAnswered,
+  kNotStarted,  ///< answered, out of attempts or past its deadline before it could start
+};
+
 /// How an attempt ended, as the upstream client saw it.
 struct AttemptResult {
   AttemptStatus status{};
@@ -55,6 +77,17 @@
   routing::AttemptEvidence evidence{};  ///< likewise
   routing::LoadReport report;
   bool invalid_request = false;  ///< the replica can't process the request as it is, nor could another
+  AttemptEndReason reason{};
+};
+
+/// Whether a connection has carried an exchange before.
+enum class ConnectionUse { kNew, kReused };
+
+/// The answer to a release of a request's reservations.
+struct ReleaseConfirmation {
+  EndpointId endpoint;  ///< that answered
+  int calls = 0;        ///< made so far
+  Duration elapsed{};   ///< since the first of them
 };
 
 /// Why a client gets an error that says nothing of whether its request has run.
--- a/src/engine/request_log.hpp
+++ b/src/engine/request_log.hpp
@@ -1,5 +1,5 @@
 /// The request log: one line for each event of a request, for diagnosing single requests afterwards and for
-/// statistics over a fleet. Off unless the command line enables it: it costs a line or two per attempt.
+/// statistics over a fleet. Off unless the command line enables it: it costs some lines per attempt.
 #ifndef DISPATCHER_ENGINE_REQUEST_LOG_HPP_
 #define DISPATCHER_ENGINE_REQUEST_LOG_HPP_
 
@@ -8,10 +8,17 @@
 #include <string_view>
 #include <utility>
 
+#include "engine/interfaces.hpp"
 #include "routing/router.hpp"
 
 namespace dispatcher::engine {
 
+/// Why a reservation is released.
+enum class ReleaseReason {
+  kRouter,        ///< the router gives up the prompt's state that it knows of
+  kPossiblyLeft,  ///< an attempt ended in a way that may have left one
+};
+
 /// Formats the lines. Each begins with `request ID`, names what happened, and goes on with key=value; times
 /// are milliseconds. Tools read the keys and values: they are part of the interface.
 class RequestLog {
@@ -21,13 +28,22 @@
   explicit RequestLog(Sink sink) : sink_(std::move(sink)) {}
 
   void log_received(const routing::Request& request, routing::Time now) const;
-  void log_attempt_started(const routing::RequestId& id, const routing::EndpointId& endpoint,
-                           int attempt) const;
+  /// `time_left`: until the attempt's deadline.
+  void log_attempt_started(const routing::RequestId& id, const routing::EndpointId& endpoint, int attempt,
+                           routing::Duration time_left) const;
+  /// The request was handed to the connection; nothing is known yet of its arrival.
+  void log_attempt_written(const routing::RequestId& id, const routing::EndpointId& endpoint, int attempt,
+                           ConnectionUse use) const;
   void log_first_token(const routing::RequestId& id, const routing::EndpointId& endpoint, int attempt,
                        routing::Duration elapsed) const;
-  void log_attempt_completed(const routing::AttemptCompleted& outcome) const;
+  void log_attempt_completed(const routing::AttemptCompleted& outcome, AttemptEndReason reason) const;
+  /// A final answer without a response of a replica.
+  void log_rejected(const routing::RequestId& id, routing::GiveUpReason reason) const;
+  void log_failed(const routing::RequestId& id, routing::GiveUpReason reason) const;
   /// `how`: one word for what became of the request where it is not served.
   void log_answered(const routing::RequestId& id, std::string_view how) const;
+  void log_release_requested(const routing::RequestId& id, ReleaseReason reason) const;
+  void log_release_confirmed(const routing::RequestId& id, const ReleaseConfirmation& confirmation) const;
 
  private:
   void write(const routing::RequestId& id, const std::string& text) const {
--- a/src/engine/reservation_cleanup.cpp
+++ b/src/engine/reservation_cleanup.cpp
@@ -28,8 +28,10 @@
   ActiveRequest* request = requests_.find(slot);
   if (request == nullptr) return;
   request->release_timer = {};
-  if (request->reservations.may_release() && !has_connected_attempt(slot))
+  if (request->reservations.may_release() && !has_connected_attempt(slot)) {
+    context_.request_log.log_release_requested(request->id, ReleaseReason::kPossiblyLeft);
     context_.upstream.release_reservation(request->id, request->reservations.may_run_until());
+  }
   requests_.remove_if_complete(slot);
 }
 
@@ -39,6 +41,7 @@
     request->reservations.on_released_by_router();
     may_run_until = request->reservations.may_run_until();
   }
+  context_.request_log.log_release_requested(id, ReleaseReason::kRouter);
   context_.upstream.release_reservation(id, may_run_until);
 }
 
--- a/src/engine/stream_relay.cpp
+++ b/src/engine/stream_relay.cpp
@@ -14,7 +14,8 @@
   const ActiveAttempt active = requests_.find_active(id);
   if (!active) return;
   if (!active.request->streaming_attempt) {
-    if (active.request->is_answered) return attempts_.terminate(id, AttemptStatus::kCancelled);
+    if (active.request->is_answered)
+      return attempts_.terminate(id, AttemptStatus::kCancelled, AttemptEndReason::kAlreadyAnswered);
     start_stream(id, active);
   }
   ActiveRequest* request = requests_.find(id.request);
@@ -67,7 +68,8 @@
   const ActiveRequest* request = requests_.find(slot);
   if (request == nullptr || !request->streaming_attempt || request->is_answered) return;
   context_.log("stream " + request->id.value() + " idle: aborted");
-  attempts_.terminate({slot, *request->streaming_attempt}, AttemptStatus::kTimeout);
+  attempts_.terminate({slot, *request->streaming_attempt}, AttemptStatus::kTimeout,
+                      AttemptEndReason::kStreamIdle);
 }
 
 }  // namespace dispatcher::engine
--- a/src/http/client_acceptor.cpp
+++ b/src/http/client_acceptor.cpp
@@ -64,7 +64,8 @@
   }
 }
 
-void ClientAcceptor::remove(SlotId id) {
+void ClientAcceptor::remove(SlotId id, CloseReason reason) {
+  clients_.log_close(id, reason);
   if (!clients_.remove(id)) return;
   if (clients_.size() < max_clients_ && listener_.is_open()) listener_.accept();
 }
@@ -76,7 +77,7 @@
 bool ClientAcceptor::evict_client(SlotId newcomer) {
   const SlotId candidate = clients_.find_eviction_candidate(newcomer);
   if (!candidate) return false;
-  remove(candidate);
+  remove(candidate, CloseReason::kEvicted);
   return true;
 }
 
@@ -91,7 +92,8 @@
   if (count + max_clients_ / kReservedLimitDivisor < max_clients_) return;
   const SlotId candidate = clients_.find_eviction_candidate(newcomer);
   const Client* client = clients_.find(candidate);
-  if (client != nullptr && clients_.is_dispensable(*client)) owner_.begin_lingering_close(candidate);
+  if (client != nullptr && clients_.is_dispensable(*client))
+    owner_.begin_lingering_close(candidate, CloseReason::kEvicted);
 }
 
 }  // namespace dispatcher::http
--- a/src/http/client_acceptor.hpp
+++ b/src/http/client_acceptor.hpp
@@ -27,7 +27,7 @@
     /// Adds the client to the table and begins to read from it. Returns its handle.
     virtual SlotId add_client(net::tcp::socket socket) = 0;
     /// Closes an idle or silent client's connection in an orderly way.
-    virtual void begin_lingering_close(SlotId id) = 0;
+    virtual void begin_lingering_close(SlotId id, CloseReason reason) = 0;
   };
 
   /// `max_clients`: connections open at once. `reclaim_descriptor` may be empty; it is called when accepting
@@ -46,7 +46,7 @@
   void set_max_clients(std::size_t max_clients);
 
   /// Closes a client's connection at once and forgets it; accepts again where the limit had stopped that.
-  void remove(SlotId id);
+  void remove(SlotId id, CloseReason reason);
   /// To be called where a client's connection has become idle: others may be waiting to take its place.
   void on_client_idle();
 
--- a/src/http/client_table.cpp
+++ b/src/http/client_table.cpp
@@ -2,6 +2,7 @@
 #include "http/client_table.hpp"
 
 #include <optional>
+#include <string>
 #include <utility>
 
 namespace dispatcher::http {
@@ -37,6 +38,18 @@
   return true;
 }
 
+void ClientTable::log_close(SlotId id, CloseReason reason) {
+  Client* client = clients_.find(id);
+  if (!log_ || client == nullptr || client->state == ClientState::kLingering) return;
+  std::string text = "client " + std::to_string(id.index) + "." + std::to_string(id.generation) +
+                     " closed reason=" + std::string(name_of(reason));
+  const bool is_answering = client->state == ClientState::kAnswering;
+  const std::string_view request =
+      is_answering ? header(client->reader.message(), "X-Correlation-Id") : std::string_view();
+  if (!request.empty()) text.append(" request=").append(request);
+  log_(text);
+}
+
 void ClientTable::set_deadline(SlotId id, Duration timeout) {
   Client& client = *clients_.find(id);
   cancel_deadline(client);
--- a/src/http/client_table.hpp
+++ b/src/http/client_table.hpp
@@ -6,8 +6,10 @@
 #include <memory>
 #include <vector>
 
+#include "engine/interfaces.hpp"
 #include "engine/timer_queue.hpp"
 #include "http/arrival_times.hpp"
+#include "http/close_reason.hpp"
 #include "http/message.hpp"
 #include "http/message_reader.hpp"
 #include "net/connection.hpp"
@@ -88,6 +90,10 @@
   [[nodiscard]] Client* find(SlotId id) { return clients_.find(id); }
   /// Closes the connection at once and forgets the client. Returns false where it has been removed already.
   bool remove(SlotId id);
+  /// Logs why a client's connection is about to be closed, unless that was logged as it began to linger.
+  void log_close(SlotId id, CloseReason reason);
+  /// Off by default.
+  void set_log(engine::Log log) { log_ = std::move(log); }
   /// How many clients are connected, lingering ones included.
   [[nodiscard]] std::size_t size() const { return clients_.size(); }
   /// All clients; they may be removed while the result is iterated.
@@ -130,6 +136,7 @@
   std::size_t max_body_bytes_;
   std::size_t reserved_body_bytes_ = 0;  // of all clients
   DeadlineHandler on_deadline_;
+  engine::Log log_;
 };
 
 }  // namespace dispatcher::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -59,14 +59,14 @@
 }
 
 void Server::on_deadline(SlotId id, Client& client) {
-  if (client.state == ClientState::kAnswering) return abandon_client(id);
-  if (client.state == ClientState::kLingering) return acceptor_.remove(id);
+  if (client.state == ClientState::kAnswering) return abandon_client(id, CloseReason::kWriteTimeout);
+  if (client.state == ClientState::kLingering) return acceptor_.remove(id, CloseReason::kLastResponse);
   if (client.reader.has_started()) return reject(id, client, {408, "the request did not come whole in time"});
-  begin_lingering_close(id);
+  begin_lingering_close(id, CloseReason::kNoRequest);
 }
 
-void Server::abandon_client(SlotId id) {
-  acceptor_.remove(id);
+void Server::abandon_client(SlotId id, CloseReason reason) {
+  acceptor_.remove(id, reason);
   handler_.on_disconnected(id);
 }
 
@@ -77,7 +77,7 @@
     // A request that has begun, or that may be on its way, is still read and answered.
     if (client.reader.has_started() || client.has_waiting_request()) continue;
     if (!client.has_received_data && clients_.is_recent(client)) continue;
-    begin_lingering_close(id);
+    begin_lingering_close(id, CloseReason::kDraining);
   }
 }
 
@@ -110,7 +110,7 @@
   if (client.connection->input().free_space() > 0) return;
   client.keep_alive = false;
   discard_input(client);
-  if (client.discarded_bytes > kMaxDiscardedBytes) abandon_client(id);
+  if (client.discarded_bytes > kMaxDiscardedBytes) abandon_client(id, CloseReason::kTooMuchInput);
 }
 
 void Server::discard_input(Client& client) {
@@ -191,9 +191,9 @@
   const Client* client = clients_.find(id);
   if (client == nullptr) return;
   if (client->state == ClientState::kAnswering) {
-    abandon_client(id);
+    abandon_client(id, CloseReason::kClientClosed);
   } else {
-    acceptor_.remove(id);
+    acceptor_.remove(id, CloseReason::kClientClosed);
   }
 }
 
@@ -243,7 +243,8 @@
   if (was_streaming && client->is_chunked()) client->connection->write(kLastChunk);
   client->is_backpressured = false;
   client->has_sent_continue = false;
-  if (!client->keep_alive || !may_continue(*client)) return begin_lingering_close(id);
+  if (!client->keep_alive || !may_continue(*client))
+    return begin_lingering_close(id, CloseReason::kLastResponse);
   await_next_request(id, *client);
 }
 
@@ -273,9 +274,10 @@
 // Every connection that is closed from this side in an orderly way gets a lingering close (RFC 9112, section
 // 9.6): queued output is sent, then FIN; input is discarded, never answered, until the client closes too. A
 // close over unread input would reset the connection and destroy the answer in transit.
-void Server::begin_lingering_close(SlotId id) {
+void Server::begin_lingering_close(SlotId id, CloseReason reason) {
   Client* client = clients_.find(id);
   if (client == nullptr || client->state == ClientState::kLingering) return;
+  clients_.log_close(id, reason);
   client->state = ClientState::kLingering;
   client->is_streaming = false;
   client->is_backpressured = false;
@@ -312,7 +314,7 @@
 
 net::UniqueFd Server::detach(SlotId id) {
   net::UniqueFd socket = clients_.find(id)->connection->duplicate_socket();
-  acceptor_.remove(id);
+  acceptor_.remove(id, CloseReason::kHandedOver);
   return socket;
 }
 
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -87,13 +87,15 @@
   /// Completes the answer; the connection goes on to its next request or is closed.
   void end_response(SlotId client);
   /// Closes the connection without the stream's last chunk, by which the client sees that it is truncated.
-  void abort(SlotId client) { begin_lingering_close(client); }
+  void abort(SlotId client) { begin_lingering_close(client, CloseReason::kStreamAborted); }
   /// Whether a client that is owed an answer is still connected. Queries the kernel, beyond the bytes read so
   /// far.
   [[nodiscard]] bool is_connected(SlotId client);
 
   // ---- life cycle ----
 
+  /// Logs why each connection is closed from now on.
+  void set_connection_log(engine::Log log) { clients_.set_log(std::move(log)); }
   /// Listens, on the socket given where it is bound to this address, and accepts. Throws
   /// boost::system::system_error where the address can't be bound. May follow stop_accepting().
   void open(net::UniqueFd listening_socket = {}) { acceptor_.open(std::move(listening_socket)); }
@@ -135,14 +137,14 @@
 
  private:
   SlotId add_client(net::tcp::socket socket) override;
-  void begin_lingering_close(SlotId id) override;
+  void begin_lingering_close(SlotId id, CloseReason reason) override;
   void on_data(SlotId id) override;
   void on_sent(SlotId id) override;
   void on_ended(SlotId id, net::error_code error) override;
 
   void on_deadline(SlotId id, Client& client);
   SlotId create_client(net::tcp::socket socket);
-  void abandon_client(SlotId id);
+  void abandon_client(SlotId id, CloseReason reason);
 
   void read_request(SlotId id);
   void start_request(SlotId id, Client& client);
--- a/src/routing/dispatch.hpp
+++ b/src/routing/dispatch.hpp
@@ -17,6 +17,7 @@
   NextStep step = NextStep::kWait;
   Endpoint* endpoint = nullptr;  // kStartAttempt: where to, never null
   Phase phase{};                 // kStartAttempt: kReading or kWriting
+  GiveUpReason reason{};         // kGiveUp
 };
 
 // The next attempt, if an endpoint can take it now; giving up, if no later one can succeed; else waiting. May
@@ -25,7 +26,7 @@
                                                 RequestState& state);
 
 // The answer to a request that is given up: Reject if the client may send it again, else Fail.
-[[nodiscard]] Action final_answer(const RequestState& state);
+[[nodiscard]] Action final_answer(const RequestState& state, GiveUpReason reason);
 
 }  // namespace dispatcher::routing
 
--- a/src/routing/retry_policy.cpp
+++ b/src/routing/retry_policy.cpp
@@ -91,12 +91,14 @@
   return {deadline, connect_by};
 }
 
-bool is_exhausted(const Context& context, const RequestState& state) {
+std::optional<GiveUpReason> exhaustion(const Context& context, const RequestState& state) {
+  if (state.charged_attempts >= state.settings->max_attempts) return GiveUpReason::kAttemptsUsedUp;
+  const Duration lead = kLeadIntervals * timer_interval(*context.settings);
+  if (context.now + lead >= state.request.client_deadline) return GiveUpReason::kDeadlineNear;
   // A repeat after its window would not be recognized: the effect would take place twice.
   const bool is_window_over = needs_deduplication(state) && context.now >= deduplication_end(state);
-  const Duration lead = kLeadIntervals * timer_interval(*context.settings);
-  return state.charged_attempts >= state.settings->max_attempts ||
-         context.now + lead >= state.request.client_deadline || is_window_over;
+  if (is_window_over) return GiveUpReason::kDeduplicationWindowOver;
+  return std::nullopt;
 }
 
 bool can_wait_for_reader(const Context& context, const EndpointTable& endpoints, const RequestState& state) {
@@ -119,10 +121,14 @@
   return state.has_prompt_state && context.now >= state.idle_since + limit;
 }
 
-bool may_retry(const Context& context, const RequestState& state, AttemptStatus status) {
+std::optional<GiveUpReason> retry_obstacle(const Context& context, const RequestState& state,
+                                           AttemptStatus status) {
   const bool is_unsafe =
       state.request_class->idempotency == Idempotency::kNonIdempotent && state.may_have_run;
-  return !is_unsafe && status != AttemptStatus::kNeverSent && !is_reservation_expired(context, state);
+  if (is_unsafe) return GiveUpReason::kMayHaveRun;
+  if (status == AttemptStatus::kNeverSent) return GiveUpReason::kNeverSent;
+  if (is_reservation_expired(context, state)) return GiveUpReason::kReservationExpired;
+  return std::nullopt;
 }
 
 bool is_charged(const RequestState& state, AttemptStatus status) {
--- a/src/routing/retry_policy.hpp
+++ b/src/routing/retry_policy.hpp
@@ -5,6 +5,7 @@
 
 #include <optional>
 
+#include "routing/actions.hpp"
 #include "routing/context.hpp"
 #include "routing/load_shedding.hpp"
 #include "routing/outlier_detection.hpp"
@@ -28,8 +29,8 @@
 // Limits for an attempt that is sent now; `state` already describes it.
 [[nodiscard]] AttemptLimits attempt_limits(const Context& context, const OutlierDetection& outliers,
                                            const Endpoint& endpoint, const RequestState& state);
-// Whether no further attempt can help: none is left, or there is no time.
-[[nodiscard]] bool is_exhausted(const Context& context, const RequestState& state);
+// Why no further attempt can help: none is left, or there is no time. Empty: another one may.
+[[nodiscard]] std::optional<GiveUpReason> exhaustion(const Context& context, const RequestState& state);
 // Whether a request that finds no reader now may find one later: not if its last attempt must both read and
 // write and no endpoint does both.
 [[nodiscard]] bool can_wait_for_reader(const Context& context, const EndpointTable& endpoints,
@@ -40,8 +41,9 @@
 [[nodiscard]] bool has_attempts_for_both_stages(const RequestState& state);
 // Whether the prompt's state has waited at its reader too long for another attempt at a writer.
 [[nodiscard]] bool is_reservation_expired(const Context& context, const RequestState& state);
-// Whether a request may be tried again after an attempt that ended like this.
-[[nodiscard]] bool may_retry(const Context& context, const RequestState& state, AttemptStatus status);
+// Why a request may not be tried again after an attempt that ended like this. Empty: it may.
+[[nodiscard]] std::optional<GiveUpReason> retry_obstacle(const Context& context, const RequestState& state,
+                                                         AttemptStatus status);
 // Whether an attempt that ended like this counts against max_attempts.
 [[nodiscard]] bool is_charged(const RequestState& state, AttemptStatus status);
 // Whether an attempt that ended like this in this phase can't have had an effect.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -114,11 +114,11 @@
   void handle(const Request& request) {
     if (requests_.find(request.id) != nullptr) return;
     const RequestClass* request_class = find_class(*context_.settings, request.request_class);
-    if (request_class == nullptr) return emit(Fail{request.id});
+    if (request_class == nullptr) return emit(Fail{request.id, GiveUpReason::kUnknownClass});
     RequestState& state =
         requests_.insert(admission_.admit(context_, request, *request_class, endpoints_.reader_count()));
     if (observer_.should_shed(context_, state, requests_)) {
-      give_up(state);
+      give_up(state, GiveUpReason::kLoadShed);
     } else {
       dispatch(state);
     }
@@ -173,10 +173,10 @@
 
   // An attempt ended without a final answer: retries or gives up.
   void continue_after(RequestState& state, AttemptStatus status) {
-    if (retry_policy::may_retry(context_, state, status)) {
-      dispatch(state);
+    if (const auto obstacle = retry_policy::retry_obstacle(context_, state, status)) {
+      give_up(state, *obstacle);
     } else {
-      give_up(state);
+      dispatch(state);
     }
   }
 
@@ -186,7 +186,7 @@
     if (state.is_in_flight) {
       check_attempt(state);
     } else if (retry_policy::is_reservation_expired(context_, state)) {
-      give_up(state);
+      give_up(state, GiveUpReason::kReservationExpired);
     } else {
       dispatch(state);
     }
@@ -227,16 +227,16 @@
                            decision.phase));
         break;
       case NextStep::kGiveUp:
-        give_up(state);
+        give_up(state, decision.reason);
         break;
       case NextStep::kWait:
         break;
     }
   }
 
-  void give_up(RequestState& state) {
+  void give_up(RequestState& state, GiveUpReason reason) {
     end_request(state);
-    emit(final_answer(state));
+    emit(final_answer(state, reason));
   }
 
   // The request needs no further attempt.
--- a/src/upstream/attempt_runner.cpp
+++ b/src/upstream/attempt_runner.cpp
@@ -8,6 +8,7 @@
 
 namespace dispatcher::upstream {
 
+using engine::AttemptEndReason;
 using routing::AttemptEvidence;
 using routing::AttemptStatus;
 
@@ -16,6 +17,13 @@
 // A replica is told its time in whole milliseconds: with less, it would be told that there is none.
 constexpr Duration kMinTimeLeft = std::chrono::milliseconds(1);
 
+// The result of an attempt of which nothing was written.
+engine::AttemptResult unsent(AttemptStatus status, AttemptEvidence evidence, AttemptEndReason reason) {
+  engine::AttemptResult result{status, 0, evidence, {}};
+  result.reason = reason;
+  return result;
+}
+
 }  // namespace
 
 AttemptRunner::AttemptRunner(ConnectionPool& pool, ExchangeRunner& exchanges, ReservationClient& reservations,
@@ -31,7 +39,9 @@
   const Duration usual = pool_.connect_timeout();
   const Duration requested = parameters.connect_by == Time{} ? usual : parameters.connect_by - clock_();
   const SlotId id = pool_.acquire(parameters.endpoint, std::clamp(requested, Duration(0), usual));
-  if (!id) return fail_unsent(attempt, AttemptStatus::kConnectFailed);
+  if (!id)
+    return fail_unsent(attempt, unsent(AttemptStatus::kConnectFailed, AttemptEvidence::kNone,
+                                       AttemptEndReason::kNoConnectionAllowed));
   connections_[attempt] = id;
   exchanges_.start(
       id, *this,
@@ -39,10 +49,10 @@
 }
 
 // Nothing was sent. The engine must not be notified before its own call has returned.
-void AttemptRunner::fail_unsent(AttemptId attempt, AttemptStatus status, AttemptEvidence evidence) {
+void AttemptRunner::fail_unsent(AttemptId attempt, const engine::AttemptResult& result) {
   connections_[attempt] = SlotId{};
-  timers_.add(clock_(), [this, attempt, status, evidence] {
-    if (connections_.erase(attempt) > 0) engine_->on_attempt_completed(attempt, {status, 0, evidence, {}});
+  timers_.add(clock_(), [this, attempt, result] {
+    if (connections_.erase(attempt) > 0) engine_->on_attempt_completed(attempt, result);
   });
 }
 
@@ -53,7 +63,7 @@
   connections_.erase(it);
   const PooledConnection* connection = pool_.find(id);
   const bool is_sent = connection != nullptr && connection->exchange.is_request_sent;
-  pool_.close(id);
+  pool_.close(id, CloseReason::kAttemptEnded);
   return is_sent;
 }
 
@@ -77,18 +87,24 @@
 
 std::optional<std::string> AttemptRunner::compose_request(const ExchangeRequest& request) {
   if (!engine_->is_still_needed(request.attempt)) {
-    fail_unsent(request.attempt, AttemptStatus::kNeverSent);
+    fail_unsent(request.attempt, unsent(AttemptStatus::kNeverSent, AttemptEvidence::kNone,
+                                        AttemptEndReason::kClientDisconnected));
     return std::nullopt;
   }
   const Duration time_left = request.deadline - clock_();
   if (time_left < kMinTimeLeft) {  // as where its deadline had ended it before its connection was up
-    fail_unsent(request.attempt, AttemptStatus::kConnectFailed, AttemptEvidence::kEndpointRunning);
+    fail_unsent(request.attempt, unsent(AttemptStatus::kConnectFailed, AttemptEvidence::kEndpointRunning,
+                                        AttemptEndReason::kNoTimeLeft));
     return std::nullopt;
   }
   reservations_.cancel_release(request.request_id);  // the attempt may be about to leave a reservation
   return request_text(*request.message, time_left);
 }
 
+void AttemptRunner::on_request_written(const ExchangeRequest& request, engine::ConnectionUse use) {
+  engine_->on_attempt_written(request.attempt, use);
+}
+
 void AttemptRunner::on_events(AttemptId attempt, std::string_view complete_events) {
   engine_->on_events(attempt, complete_events);
 }
--- a/src/upstream/attempt_runner.hpp
+++ b/src/upstream/attempt_runner.hpp
@@ -49,10 +49,10 @@
 
  private:
   [[nodiscard]] std::optional<std::string> compose_request(const ExchangeRequest& request) override;
+  void on_request_written(const ExchangeRequest& request, engine::ConnectionUse use) override;
   void on_events(AttemptId attempt, std::string_view complete_events) override;
   void on_exchange_ended(const ExchangeOutcome& outcome) override;
-  void fail_unsent(AttemptId attempt, routing::AttemptStatus status,
-                   routing::AttemptEvidence evidence = routing::AttemptEvidence::kNone);
+  void fail_unsent(AttemptId attempt, const engine::AttemptResult& result);
 
   ConnectionPool& pool_;
   ExchangeRunner& exchanges_;
--- a/src/upstream/connection_pool.cpp
+++ b/src/upstream/connection_pool.cpp
@@ -73,7 +73,8 @@
   }
   for (const EndpointAddress& listed : addresses) {
     Endpoint& endpoint = endpoints_[listed.endpoint];
-    if (endpoint.address != listed.address) close_idle(endpoint);  // they lead to its former address
+    if (endpoint.address != listed.address)
+      close_idle(endpoint, CloseReason::kEndpointMoved);  // they lead to its former address
     endpoint.address = listed.address;
     endpoint.is_listed = listed.is_ready;
     endpoint.zone = listed.zone;
@@ -97,7 +98,8 @@
   const bool is_ready = endpoint.is_listed && !administratively_drained_.contains(name);
   if (endpoint.is_ready && !is_ready) endpoint.drain_started = clock_();
   endpoint.is_ready = is_ready;
-  if (!is_ready) close_idle(endpoint);  // a replica that shuts down waits for its connections to close
+  // A replica that shuts down waits for its connections to close.
+  if (!is_ready) close_idle(endpoint, CloseReason::kEndpointDrained);
 }
 
 // Replicas are replaced under new names all day: their state must not pile up.
@@ -143,7 +145,7 @@
     if (!has_settled(id)) continue;
     PooledConnection& connection = *connections_.find(id);
     if (connection.transport->is_stale()) {
-      close(id);
+      close(id, CloseReason::kStale);
       continue;
     }
     endpoint.idle.erase(endpoint.idle.begin() + static_cast<std::ptrdiff_t>(i));
@@ -211,10 +213,9 @@
   connection.is_reused = true;
   connection.exchange.reader.reset();
   Endpoint& endpoint = endpoint_of(connection);
-  const bool has_moved = connection.address != endpoint.address;
-  if (endpoint.idle.size() >= options_.max_idle_per_endpoint || !endpoint.is_ready || has_moved) {
-    return close(id);
-  }
+  if (connection.address != endpoint.address) return close(id, CloseReason::kEndpointMoved);
+  if (!endpoint.is_ready) return close(id, CloseReason::kEndpointDrained);
+  if (endpoint.idle.size() >= options_.max_idle_per_endpoint) return close(id, CloseReason::kNotKept);
   if (idle_count_ >= options_.max_idle_total) evict_idle();
   endpoint.idle.push_back(id);
   connection.is_parked = true;
@@ -225,13 +226,17 @@
   ++idle_count_;
   const auto idle_timeout = static_cast<double>(options_.idle_timeout.count());
   const auto max_idle_time = Duration(std::llround(idle_timeout * kIdleTimeoutFraction));
-  connection.timer = timers_.add(clock_() + max_idle_time, [this, id] { close(id); });
+  connection.timer =
+      timers_.add(clock_() + max_idle_time, [this, id] { close(id, CloseReason::kIdleTimeout); });
   connection.transport->read();  // to notice that the replica closes it
 }
 
-void ConnectionPool::close(SlotId id) {
+void ConnectionPool::close(SlotId id, CloseReason reason) {
   PooledConnection* connection = connections_.find(id);
   if (connection == nullptr) return;
+  const bool is_in_use = connection->exchange.is_active();
+  log_.log_closed(connection->endpoint, is_in_use ? connection->exchange.request.request_id : RequestId{},
+                  reason);
   Endpoint& endpoint = endpoint_of(*connection);
   remove_from_idle(endpoint, id);
   timers_.drop(connection->timer);
@@ -261,16 +266,16 @@
     idle_order_.pop_front();
     const PooledConnection* connection = connections_.find(id);
     if (connection == nullptr || !connection->is_parked) continue;
-    close(id);
+    close(id, CloseReason::kEvicted);
     return true;
   }
   return false;
 }
 
-void ConnectionPool::close_idle(Endpoint& endpoint) {
+void ConnectionPool::close_idle(Endpoint& endpoint, CloseReason reason) {
   while (!endpoint.idle.empty()) {
     const SlotId id = endpoint.idle.back();
-    close(id);
+    close(id, reason);
   }
 }
 
--- a/src/upstream/connection_pool.hpp
+++ b/src/upstream/connection_pool.hpp
@@ -16,6 +16,7 @@
 #include "net/unique_fd.hpp"
 #include "routing/events.hpp"
 #include "upstream/connect_timeout_estimator.hpp"
+#include "upstream/connection_log.hpp"
 #include "upstream/endpoint.hpp"
 #include "upstream/exchange.hpp"
 #include "upstream/options.hpp"
@@ -53,6 +54,7 @@
                  const Options& options);
   // Must be called before the first connection is acquired; `handler` must outlive the pool's last event.
   void set_handler(ConnectionHandler& handler) { handler_ = &handler; }
+  void set_log(ConnectionLog log) { log_ = std::move(log); }
   // Limits and times for what is opened from now on; idle connections past the new limit are closed.
   void apply_options(const Options& options);
 
@@ -70,7 +72,7 @@
   void park(SlotId id);
   // Closes a connection at once, whatever it carries; its handler is not called any more. Unknown ids are
   // ignored.
-  void close(SlotId id);
+  void close(SlotId id, CloseReason reason);
   // Closes the connection that has been idle for longest. False: none is idle.
   bool evict_idle();
 
@@ -100,7 +102,7 @@
   [[nodiscard]] SlotId open(const EndpointId& name, Endpoint& endpoint, Time now, Duration connect_timeout);
   [[nodiscard]] bool has_settled(SlotId id);
   void update_readiness(const EndpointId& name, Endpoint& endpoint);
-  void close_idle(Endpoint& endpoint);
+  void close_idle(Endpoint& endpoint, CloseReason reason);
   void remove_from_idle(Endpoint& endpoint, SlotId id);
   void end_exchange(PooledConnection& connection);
   void erase_removed_endpoints();
@@ -109,6 +111,7 @@
   engine::TimerQueue& timers_;
   engine::Clock clock_;
   Options options_;
+  ConnectionLog log_;
   ConnectionHandler* handler_ = nullptr;
   net::SlotTable<PooledConnection> connections_;
   std::map<EndpointId, Endpoint> endpoints_;
--- a/src/upstream/exchange.hpp
+++ b/src/upstream/exchange.hpp
@@ -56,6 +56,8 @@
   // exchange was started. Nothing: the exchange is no longer needed; its connection goes back to the pool and
   // no further call is made.
   [[nodiscard]] virtual std::optional<std::string> compose_request(const ExchangeRequest& request) = 0;
+  // The request was handed to the connection, right after compose_request(). Must start or end no exchange.
+  virtual void on_request_written(const ExchangeRequest&, engine::ConnectionUse) {}
   // Complete server-sent events of a response, in order.
   virtual void on_events(AttemptId, std::string_view /*complete_events*/) {}
   // The last call of an exchange. Its connection has been closed or parked by then.
--- a/src/upstream/exchange_runner.cpp
+++ b/src/upstream/exchange_runner.cpp
@@ -8,6 +8,7 @@
 
 namespace dispatcher::upstream {
 
+using engine::AttemptEndReason;
 using routing::AttemptEvidence;
 using routing::AttemptStatus;
 
@@ -61,6 +62,8 @@
   exchange.request.message.reset();
   if (!text) return pool_.park(id);
   connection.transport->write(*text);
+  exchange.handler->on_request_written(
+      exchange.request, connection.is_reused ? engine::ConnectionUse::kReused : engine::ConnectionUse::kNew);
   pool_.endpoint_of(connection).on_request_written(clock_());
   connection.transport->read();
 }
@@ -68,12 +71,13 @@
 void ExchangeRunner::on_connected(SlotId id, net::error_code error) {
   PooledConnection* connection = pool_.find(id);
   if (connection == nullptr) return;
-  if (error) return on_connection_broken(id);
+  if (error) return on_connection_broken(id, AttemptEndReason::kConnectRefused);
   pool_.on_connected(*connection);
   const ExchangeKind kind = connection->exchange.request.kind;
   const bool gives_work = kind == ExchangeKind::kAttempt || kind == ExchangeKind::kReservation;
   // A release may be sent to any replica that runs, also to one that is draining.
-  if (gives_work && pool_.is_outdated(*connection)) return on_connection_broken(id);
+  if (gives_work && pool_.is_outdated(*connection))
+    return on_connection_broken(id, AttemptEndReason::kEndpointChanged);
   write_request(id, *connection);
 }
 
@@ -113,11 +117,11 @@
 
 void ExchangeRunner::read_response(SlotId id, PooledConnection& connection) {
   Exchange& exchange = connection.exchange;
-  if (!exchange.is_active()) return pool_.close(id);  // nothing is due on an idle connection
+  if (!exchange.is_active()) return pool_.close(id, CloseReason::kUnsolicitedBytes);
   pool_.endpoint_of(connection).on_bytes_received(clock_());
   if (!exchange.is_request_sent) {  // no response to what was not written yet
     log_("endpoint " + connection.endpoint.value() + " answered before it was asked");
-    return on_connection_broken(id);
+    return on_connection_broken(id, AttemptEndReason::kEarlyResponse);
   }
   const http::ReadStatus progress = parse_response(id, connection);
   if (progress == http::ReadStatus::kMalformed)
@@ -187,6 +191,8 @@
   if (outcome.kind == ExchangeKind::kAttempt) {
     outcome.result =
         interpret_response(exchange.reader.message(), exchange.framer.incomplete_event(), exchange.result);
+    outcome.result.reason = outcome.result.invalid_request ? AttemptEndReason::kInvalidRequest
+                                                           : AttemptEndReason::kResponseComplete;
     if (!is_expected_status(status)) {
       log_("endpoint " + outcome.endpoint.value() + " answered " + std::to_string(status));
     }
@@ -196,7 +202,7 @@
   if (exchange.reader.keep_alive() && has_no_excess && exchange.is_request_sent) {
     pool_.park(id);
   } else {
-    pool_.close(id);
+    pool_.close(id, CloseReason::kResponseEnded);
   }
   if (Endpoint* endpoint = pool_.find_endpoint(outcome.endpoint)) endpoint->on_exchange_completed();
   handler.on_exchange_ended(outcome);
@@ -212,18 +218,18 @@
   const bool is_response_end = exchange.is_active() && error == boost::asio::error::eof &&
                                exchange.reader.has_started() &&
                                exchange.reader.end() == http::ReadStatus::kComplete;
-  if (!is_response_end) return on_connection_broken(id);
+  if (!is_response_end) return on_connection_broken(id, AttemptEndReason::kConnectionClosed);
   if (is_event_stream(exchange)) forward_events(id, exchange.reader.take_body());
   connection = pool_.find(id);
   if (connection != nullptr && connection->exchange.is_active()) complete_exchange(id);
 }
 
 // The connection failed, or was never established.
-void ExchangeRunner::on_connection_broken(SlotId id) {
+void ExchangeRunner::on_connection_broken(SlotId id, AttemptEndReason reason) {
   const PooledConnection* connection = pool_.find(id);
   if (connection == nullptr) return;
   const bool is_sent = connection->exchange.is_request_sent;
-  fail_exchange(id, is_sent ? AttemptStatus::kReset : AttemptStatus::kConnectFailed);
+  fail_exchange(id, is_sent ? AttemptStatus::kReset : AttemptStatus::kConnectFailed, reason);
 }
 
 // The replica runs, but its response can't be parsed: it may have executed the request.
@@ -231,10 +237,11 @@
   const PooledConnection* connection = pool_.find(id);
   if (connection == nullptr) return;
   log_("endpoint " + connection->endpoint.value() + " sent a malformed response: " + std::string(reason));
-  fail_exchange(id, AttemptStatus::kError);
+  fail_exchange(id, AttemptStatus::kError, AttemptEndReason::kMalformedResponse);
 }
 
-void ExchangeRunner::fail_exchange(SlotId id, AttemptStatus status, FailureAttribution attribution) {
+void ExchangeRunner::fail_exchange(SlotId id, AttemptStatus status, AttemptEndReason reason,
+                                   FailureAttribution attribution) {
   const PooledConnection* connection = pool_.find(id);
   if (connection == nullptr) return;
   const Exchange& exchange = connection->exchange;
@@ -242,13 +249,14 @@
   ExchangeOutcome outcome = make_outcome(id, *connection);
   outcome.result = exchange.result;
   outcome.result.status = status;
+  outcome.result.reason = reason;
   const bool failed_once_connected = status == AttemptStatus::kConnectFailed && connection->is_connected;
   const bool is_endpoint_running = exchange.has_response_started || failed_once_connected;
   const bool is_exempt = attribution == FailureAttribution::kNone;
   outcome.result.evidence =
       is_endpoint_running || is_exempt ? AttemptEvidence::kEndpointRunning : AttemptEvidence::kNone;
   if (connection->is_reused && !exchange.has_response_started) pool_.quarantine_reuse();
-  pool_.close(id);
+  pool_.close(id, CloseReason::kExchangeFailed);
   if (handler != nullptr) handler->on_exchange_ended(outcome);
 }
 
--- a/src/upstream/exchange_runner.hpp
+++ b/src/upstream/exchange_runner.hpp
@@ -36,7 +36,7 @@
   void resume_response(SlotId id, ExchangeHandler& handler, AttemptId attempt,
                        const ResponsePosition& position, std::string_view unread);
   // Ends an exchange without a response, and closes its connection. Unknown ids are ignored.
-  void fail_exchange(SlotId id, routing::AttemptStatus status,
+  void fail_exchange(SlotId id, routing::AttemptStatus status, engine::AttemptEndReason reason,
                      FailureAttribution attribution = FailureAttribution::kEndpoint);
 
  private:
@@ -44,7 +44,9 @@
   void on_data(SlotId id) override;
   void on_sent(SlotId id) override;
   void on_ended(SlotId id, net::error_code error) override;
-  void on_connect_timeout(SlotId id) override { on_connection_broken(id); }
+  void on_connect_timeout(SlotId id) override {
+    on_connection_broken(id, engine::AttemptEndReason::kConnectTimeout);
+  }
 
   void write_request(SlotId id, PooledConnection& connection);
   void read_response(SlotId id, PooledConnection& connection);
@@ -52,7 +54,7 @@
   void forward_events(SlotId id, std::string_view bytes);
   void complete_exchange(SlotId id);
   void finish_complete_exchange(SlotId id, PooledConnection& connection);
-  void on_connection_broken(SlotId id);
+  void on_connection_broken(SlotId id, engine::AttemptEndReason reason);
   void on_malformed_response(SlotId id, std::string_view reason);
 
   ConnectionPool& pool_;
--- a/src/upstream/replica_client.cpp
+++ b/src/upstream/replica_client.cpp
@@ -27,7 +27,8 @@
   for (const SlotId id : pool_.ids()) {
     const PooledConnection* connection = pool_.find(id);  // an exchange that fails may end others
     if (connection == nullptr || connection->endpoint != endpoint || connection->is_connected) continue;
-    exchanges_.fail_exchange(id, routing::AttemptStatus::kConnectFailed, FailureAttribution::kNone);
+    exchanges_.fail_exchange(id, routing::AttemptStatus::kConnectFailed,
+                             engine::AttemptEndReason::kEndpointChanged, FailureAttribution::kNone);
   }
 }
 
--- a/src/upstream/replica_client.hpp
+++ b/src/upstream/replica_client.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "engine/engine.hpp"
@@ -34,6 +35,8 @@
   // A drained endpoint gets no first byte of anything any more: exchanges that wait for a connection to it
   // fail as not sent. Those that run go on.
   void set_administrative_state(const EndpointId& endpoint, routing::AdministrativeState state);
+  // Logs each connection that is closed from now on.
+  void set_connection_log(ConnectionLog log) { pool_.set_log(std::move(log)); }
   // Limits and times for what is opened from now on.
   void apply_options(const Options& options);
 
--- a/src/upstream/reservation_client.cpp
+++ b/src/upstream/reservation_client.cpp
@@ -45,7 +45,7 @@
     const PooledConnection& connection = *pool_.find(id);
     const ExchangeRequest& request = connection.exchange.request;
     const bool is_unsent = request.kind == ExchangeKind::kReservation && !connection.is_connected;
-    if (is_unsent && request.request_id == request_id) pool_.close(id);
+    if (is_unsent && request.request_id == request_id) pool_.close(id, CloseReason::kReleaseEnded);
   }
   releaser_.release(request_id, until);
 }
@@ -90,8 +90,10 @@
 
 void ReservationClient::on_release_ended(const ExchangeOutcome& outcome) {
   if (!outcome.http_status) return releaser_.on_call_failed(outcome.request_id, outcome.connection);
-  releaser_.on_call_answered(outcome.request_id, outcome.connection);
-  if (engine_ != nullptr) engine_->on_reservation_released(outcome.request_id);
+  const ReservationReleaser::Progress progress =
+      releaser_.on_call_answered(outcome.request_id, outcome.connection);
+  if (engine_ == nullptr) return;
+  engine_->on_reservation_released(outcome.request_id, {outcome.endpoint, progress.calls, progress.elapsed});
 }
 
 }  // namespace dispatcher::upstream
--- a/src/upstream/reservation_client.hpp
+++ b/src/upstream/reservation_client.hpp
@@ -45,7 +45,7 @@
   void on_release_ended(const ExchangeOutcome& outcome);
 
   [[nodiscard]] SlotId start_release_call(const EndpointId& endpoint, const RequestId& request_id) override;
-  void close_release_call(SlotId call) override { pool_.close(call); }
+  void close_release_call(SlotId call) override { pool_.close(call, CloseReason::kReleaseEnded); }
   [[nodiscard]] std::vector<ReleaseCandidate> release_candidates() override;
 
   ConnectionPool& pool_;
--- a/src/upstream/reservation_releaser.cpp
+++ b/src/upstream/reservation_releaser.cpp
@@ -100,20 +100,26 @@
   if (release.calls.empty() && calls_made < transport_.release_candidates().size()) start_round(request_id);
 }
 
-void ReservationReleaser::on_call_answered(const RequestId& request_id, SlotId call) {
+ReservationReleaser::Progress ReservationReleaser::on_call_answered(const RequestId& request_id,
+                                                                    SlotId call) {
   const auto it = releases_.find(request_id);
-  if (it == releases_.end()) return;
+  if (it == releases_.end()) return {};
   Release& release = it->second;
   call_count_ -= std::erase(release.calls, call);  // its connection stays with the pool
   const Time now = clock_();
   const Time started = release.targets.started();
-  if (release.targets.call_count() > 1) {
-    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(now - started);
-    log_("release of " + request_id.value() + " took " + std::to_string(release.targets.call_count()) +
-         " calls, " + std::to_string(elapsed.count()) + " ms");
+  const Progress progress{release.targets.call_count(), now - started};
+  if (progress.calls > 1) {
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(progress.elapsed);
+    log_("release of " + request_id.value() + " took " + std::to_string(progress.calls) + " calls, " +
+         std::to_string(elapsed.count()) + " ms");
+  }
+  if (started >= release.until) {
+    cancel(request_id);
+  } else {
+    schedule_repeat(request_id, release, now);
   }
-  if (started >= release.until) return cancel(request_id);
-  schedule_repeat(request_id, release, now);
+  return progress;
 }
 
 // The last repetition comes once nothing can leave a reservation any more.
--- a/src/upstream/reservation_releaser.hpp
+++ b/src/upstream/reservation_releaser.hpp
@@ -50,8 +50,13 @@
   // Ends a release and its calls: an attempt of the request is being written, whose reservation earlier calls
   // must not release.
   void cancel(const RequestId& request_id);
+  // What a release has taken so far.
+  struct Progress {
+    int calls = 0;
+    Duration elapsed{};
+  };
   // How a call ended. Calls of a release that has ended are ignored.
-  void on_call_answered(const RequestId& request_id, SlotId call);
+  Progress on_call_answered(const RequestId& request_id, SlotId call);
   void on_call_failed(const RequestId& request_id, SlotId call);
 
   // Releases that have not ended.
--- a/src/upstream/stream_handover.cpp
+++ b/src/upstream/stream_handover.cpp
@@ -41,7 +41,7 @@
   stream.unread = connection.transport->input().text();
   stream.position = {reader.chunk_bytes_left(), reader.keep_alive()};
   stream.socket = connection.transport->duplicate_socket();
-  pool_.close(attempts_.remove(attempt));
+  pool_.close(attempts_.remove(attempt), CloseReason::kHandedOver);
   return stream;
 }
 
--- a/tests/engine/engine_digest_fixture.cpp
+++ b/tests/engine/engine_digest_fixture.cpp
@@ -239,7 +239,7 @@
   const auto it = pick_in(process.releases, dice_);
   const engine::RequestId id = *it;
   process.releases.erase(it);
-  process.engine.on_reservation_released(id);
+  process.engine.on_reservation_released(id, {});
 }
 
 // What comes too late, or for nobody.
@@ -252,7 +252,7 @@
   process.engine.on_attempt_completed(attempt, draw_result(static_cast<AttemptStatus>(dice_.below(9))));
   process.engine.on_reservation_result(attempt, "h0", engine::ReservationOutcome::kReserved);
   record("wanted", attempt, process.engine.is_still_needed(attempt));
-  process.engine.on_reservation_released("nobody");
+  process.engine.on_reservation_released("nobody", {});
   if (const Client* client = pick_client([](const Client& candidate) { return candidate.is_over; })) {
     client->at->engine.on_client_disconnected(client->request);
     client->at->engine.resume_stream(client->request);
--- a/tests/engine/engine_fixture.hpp
+++ b/tests/engine/engine_fixture.hpp
@@ -68,7 +68,7 @@
   void release_reservation(const engine::RequestId& id, engine::Time until) override {
     calls.push_back("release");
     release_until = until;
-    if (confirms_releases) timers.add(now, [this, id] { engine.on_reservation_released(id); });
+    if (confirms_releases) timers.add(now, [this, id] { engine.on_reservation_released(id, {}); });
   }
   bool is_client_connected(SlotId) override { return client_connected; }
   bool has_connection(engine::AttemptId) override { return connected; }
--- a/tests/http/http_server_test.cpp
+++ b/tests/http/http_server_test.cpp
@@ -1,4 +1,5 @@
 // Limits of the HTTP server: connections and body memory.
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
   options.max_clients = 4;
   FakeReplica replica(loop, answer_ok, options);
   const std::string start = GENERATE("", "GET / HT");
+  std::vector<std::string> closed;
+  replica.server.set_connection_log([&](std::string_view line) { closed.emplace_back(line); });
   std::vector<std::unique_ptr<FakeClient>> crowd;
   const auto join = [&](int client_count) {
     for (int i = 0; i < client_count; ++i) {
@@ -39,6 +42,8 @@
   real.get("/real");
   REQUIRE(loop.until([&] { return real.is_finished(); }));
   CHECK(real.status == 200);
+  CHECK(std::any_of(closed.begin(), closed.end(),
+                    [](const std::string& line) { return line.ends_with(" closed reason=evicted"); }));
 }
 
 TEST_CASE("the memory of request bodies is limited over all clients", "[server]") {
--- a/tests/upstream/pooled_connections_test.cpp
+++ b/tests/upstream/pooled_connections_test.cpp
@@ -23,6 +23,9 @@
 
 TEST_CASE("idle connections are pooled, and closed well before the replica closes them", "[pool]") {
   Fixture fixture(healthy_reader, healthy_writer);
+  std::vector<std::string> closed;
+  fixture.pool.set_connection_log(
+      upstream::ConnectionLog([&](std::string_view line) { closed.emplace_back(line); }));
   auto client = fixture.post("a1", "command");
   REQUIRE(fixture.until([&] { return client->is_complete; }));
   CHECK(fixture.pool.open_connections() == 2);
@@ -33,6 +36,8 @@
   fixture.now += seconds(2);
   fixture.timers.run(fixture.now);
   CHECK(fixture.pool.open_connections() == 0);
+  REQUIRE(closed.size() == 2);
+  for (const std::string& line : closed) CHECK(line.ends_with(" closed reason=idle-timeout"));
 }
 
 TEST_CASE("a command whose writers refuse connections has not run, and is rejected", "[pool]") {
