--- a/tests/fault_injection/reservation_faults_test.cpp
+++ b/tests/fault_injection/reservation_faults_test.cpp
@@ -190,6 +190,7 @@
     site.open_connections();
     silence(site.links("writer"));
     std::vector<std::unique_ptr<FakeClient>> clients;
+    clients.reserve(kRequests);
     for (int i = 0; i < kRequests; ++i)
       clients.push_back(site.post("cccc" + std::to_string(1000 + i), i % 2 == 0 ? "command" : "ask"));
     // Some are rejected at once, as no other writer is left; these wait until their time is over.
