A failed call to a silent reader begins no round of a release that was answered

Cause: calls to a silent reader are kept open past the release's answer, and on_call_failed took their failure for one of a release that nobody had answered, so that rounds went on without pause. Change: a release that waits for its repetition ignores failed calls. The new test makes 20 calls in place of 4 without it.

--- a/src/upstream/reservation_releaser.cpp
+++ b/src/upstream/reservation_releaser.cpp
@@ -158,6 +158,7 @@
   Release& release = it->second;
   if (std::erase(release.calls, call) == 0) return;
   --call_count_;
+  if (release.is_awaiting_repeat) return;  // the release was answered; the next call comes on schedule
   // Where all replicas refuse the connection at once, the next round starts on schedule.
   const auto calls_made = static_cast<std::size_t>(release.targets.call_count());
   if (release.calls.empty() && calls_made < transport_.release_candidates().size()) start_round(request_id);
--- a/tests/upstream/reservation_release_test.cpp
+++ b/tests/upstream/reservation_release_test.cpp
@@ -75,6 +75,39 @@
   CHECK(fixture.releases() == calls);
 }
 
+// A transport whose calls the test answers or fails. Its endpoints are all reachable.
+struct RecordingTransport : upstream::ReservationReleaser::ReleaseTransport {
+  SlotId start_release_call(const upstream::EndpointId& endpoint, const engine::RequestId&) override {
+    targets.push_back(endpoint);
+    return {static_cast<std::uint32_t>(targets.size()), 1};
+  }
+  void close_release_call(SlotId) override {}
+  std::vector<upstream::ReleaseCandidate> release_candidates() override {
+    std::vector<upstream::ReleaseCandidate> candidates;
+    for (const char* name : {"r1", "r2", "r3", "r4", "r5", "r6"})
+      candidates.push_back({name, "here", 0, true});
+    return candidates;
+  }
+  std::vector<upstream::EndpointId> targets;  // of the calls, whose handles are numbered from 1
+};
+
+// Its release was answered by another replica: the failed call must not begin another round.
+TEST_CASE("a call to a silent reader that fails after the release was answered changes nothing",
+          "[endings]") {
+  TestEventLoop loop;
+  RecordingTransport transport;
+  upstream::ReservationReleaser releaser(transport, loop.timers, loop.clock(), [](std::string_view) {},
+                                         {milliseconds(50), milliseconds(200), 10});
+  releaser.release("a1", {{}, loop.now + seconds(5), "r6"});
+  REQUIRE(transport.targets.size() == 2);
+  CHECK(transport.targets[1] == "r6");
+  releaser.on_call_answered("a1", {1, 1}, transport.targets[0]);
+  releaser.on_call_failed("a1", {2, 1});
+  CHECK(transport.targets.size() == 2);
+  loop.advance(milliseconds(220));
+  CHECK(transport.targets.size() == 4);  // the repetition, on schedule
+}
+
 TEST_CASE("a release that is requested again while its calls are out is repeated after their answer",
           "[endings]") {
   DirectFixture fixture(healthy_reader, healthy_writer);
