--- a/tests/fault_injection/reservation_faults_test.cpp
+++ b/tests/fault_injection/reservation_faults_test.cpp
@@ -166,105 +166,112 @@
 
 // The incident: the link to the writer falls silent under a connection that is kept open, and the state that
 // the reader holds is released only when the request's time is over.
-TEST_CASE("a reservation is released in time though an attempt was written that never arrives", "[faults]") {
-  SECTION("to a writer, by each class, with and without cancellation") {
-    const auto* request_class = GENERATE("command", "ask");
-    const auto cancellation = GENERATE(Cancellation::kAllowed, Cancellation::kForbidden);
-    FaultSite site(cancellation);
-    site.open_connections();
-    silence(site.links("writer"));
-    const auto client = site.post("bbbb01", request_class);
-    REQUIRE(site.until([&] { return site.ledger.is_held("bbbb01"); }));
-    REQUIRE(site.until([&] { return !site.ledger.is_held("bbbb01") || client->is_finished(); }));
-    CHECK_FALSE(client->is_finished());
-    CHECK(site.until([&] { return client->is_finished(); }));
-    CHECK(site.ledger.held_count() == 0);
-    // What was held back arrives late: the writer has nothing to fetch, and nothing runs.
-    for (FaultProxy* link : site.links("writer")) link->restore();
-    CHECK(site.until([&] { return !site.is_undelivered("writer"); }));
-    CHECK(site.ledger.held_count() == 0);
-  }
-  SECTION("to writers, by many requests at once") {
-    constexpr int kRequests = 40;
-    FaultSite site;
-    site.open_connections();
-    silence(site.links("writer"));
-    std::vector<std::unique_ptr<FakeClient>> clients;
-    clients.reserve(kRequests);
-    for (int i = 0; i < kRequests; ++i)
-      clients.push_back(site.post("cccc" + std::to_string(1000 + i), i % 2 == 0 ? "command" : "ask"));
-    // Some are rejected at once, as no other writer is left; these wait until their time is over.
-    const auto has_timed_out = [](const auto& client) { return client->status == 504; };
-    std::size_t reads = 0;
-    REQUIRE(site.until([&] {
-      reads = 0;
-      for (int i = 0; i < kRequests; ++i) {
-        const std::string id = "cccc" + std::to_string(1000 + i);
-        if (site.attempts("reader", id) > 0) ++reads;
-      }
-      return reads == kRequests;
-    }));
-    REQUIRE(site.until([&] {
-      return site.ledger.held_count() == 0 || std::any_of(clients.begin(), clients.end(), has_timed_out);
-    }));
-    INFO(site.log_of_held());
-    CHECK(site.ledger.held_count() == 0);
-  }
-  SECTION("to a second reader, after a first one whose state may be left") {
-    FaultSite site;
-    site.open_connections();
-    site.broken_reads.insert("dddd01");
-    for (FaultProxy* link : site.links("reader")) link->silence(FaultProxy::Direction::kToReplica);
-    const auto client = site.post("dddd01", "command");
-    REQUIRE(site.until([&] { return site.is_undelivered("reader"); }));
-    // One link delivers the read, which leaves a state and breaks; the next attempt's link stays silent.
-    const std::vector<FaultProxy*> links = site.links("reader");
-    const bool is_at_first = links[0]->is_holding_back(FaultProxy::Direction::kToReplica);
-    links[is_at_first ? 0 : 1]->restore();
-    REQUIRE(site.until([&] { return site.ledger.is_held("dddd01"); }));
-    REQUIRE(site.until([&] { return !site.ledger.is_held("dddd01") || client->is_finished(); }));
-    CHECK_FALSE(client->is_finished());
-    CHECK(site.ledger.releases("dddd01") > 0);
-  }
-  SECTION("to a writer, during a drain") {
-    FaultSite site;
-    site.open_connections();
-    silence(site.links("writer"));
-    const auto client = site.post("eeee01", "command");
-    REQUIRE(site.until([&] { return site.ledger.is_held("eeee01"); }));
-    site.daemon.signal(SIGTERM);
-    site.daemon.signal(SIGHUP);
-    site.daemon.signal(SIGTERM);
-    REQUIRE(site.until([&] { return !site.ledger.is_held("eeee01") || client->is_finished(); }));
-    CHECK_FALSE(client->is_finished());
-    CHECK(site.until([&] { return client->is_finished(); }));
-    CHECK(site.until([&] { return site.daemon.has_ended(); }));
-    CHECK(site.daemon.wait_end() == 0);
-  }
-  SECTION("to a writer, by a daemon that was stopped for a moment") {
-    FaultSite site;
-    site.open_connections();
-    silence(site.links("writer"));
-    const auto client = site.post("eeee02", "command");
-    REQUIRE(site.until([&] { return site.ledger.is_held("eeee02"); }));
-    site.daemon.signal(SIGSTOP);
-    std::this_thread::sleep_for(milliseconds(150));
-    site.daemon.signal(SIGCONT);
-    REQUIRE(site.until([&] { return !site.ledger.is_held("eeee02") || client->is_finished(); }));
-    CHECK_FALSE(client->is_finished());
-  }
-  SECTION("as its end did not: the read is cancelled, and leaves a state all the same") {
-    FaultSite site;
-    site.open_connections();
-    site.slow_reads.insert("ffff01");
-    const auto client = site.post("ffff01", "command");
-    REQUIRE(site.until([&] { return site.attempts("reader", "ffff01") == 1; }));
-    silence(site.links("reader"));
-    client->close();
-    REQUIRE(site.until([&] { return site.ledger.releases("ffff01") > 0; }));
-    site.ledger.on_read("ffff01");
-    CHECK(site.until([&] { return !site.ledger.is_held("ffff01"); }));
-  }
+TEST_CASE("a state is released in time behind a silent writer, for each class, cancellable or not",
+          "[faults]") {
+  const auto* request_class = GENERATE("command", "ask");
+  const auto cancellation = GENERATE(Cancellation::kAllowed, Cancellation::kForbidden);
+  FaultSite site(cancellation);
+  site.open_connections();
+  silence(site.links("writer"));
+  const auto client = site.post("bbbb01", request_class);
+  REQUIRE(site.until([&] { return site.ledger.is_held("bbbb01"); }));
+  REQUIRE(site.until([&] { return !site.ledger.is_held("bbbb01") || client->is_finished(); }));
+  CHECK_FALSE(client->is_finished());
+  CHECK(site.until([&] { return client->is_finished(); }));
+  CHECK(site.ledger.held_count() == 0);
+  // What was held back arrives late: the writer has nothing to fetch, and nothing runs.
+  for (FaultProxy* link : site.links("writer")) link->restore();
+  CHECK(site.until([&] { return !site.is_undelivered("writer"); }));
+  CHECK(site.ledger.held_count() == 0);
+}
+
+TEST_CASE("the states of many requests are released in time when their writers fall silent at once",
+          "[faults]") {
+  constexpr int kRequests = 40;
+  FaultSite site;
+  site.open_connections();
+  silence(site.links("writer"));
+  std::vector<std::unique_ptr<FakeClient>> clients;
+  clients.reserve(kRequests);
+  for (int i = 0; i < kRequests; ++i)
+    clients.push_back(site.post("cccc" + std::to_string(1000 + i), i % 2 == 0 ? "command" : "ask"));
+  // Some are rejected at once, as no other writer is left; these wait until their time is over.
+  const auto has_timed_out = [](const auto& client) { return client->status == 504; };
+  std::size_t reads = 0;
+  REQUIRE(site.until([&] {
+    reads = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      const std::string id = "cccc" + std::to_string(1000 + i);
+      if (site.attempts("reader", id) > 0) ++reads;
+    }
+    return reads == kRequests;
+  }));
+  REQUIRE(site.until([&] {
+    return site.ledger.held_count() == 0 || std::any_of(clients.begin(), clients.end(), has_timed_out);
+  }));
+  INFO(site.log_of_held());
+  CHECK(site.ledger.held_count() == 0);
+}
+
+TEST_CASE("a state that a broken read may have left is released in time behind a silent second reader",
+          "[faults]") {
+  FaultSite site;
+  site.open_connections();
+  site.broken_reads.insert("dddd01");
+  for (FaultProxy* link : site.links("reader")) link->silence(FaultProxy::Direction::kToReplica);
+  const auto client = site.post("dddd01", "command");
+  REQUIRE(site.until([&] { return site.is_undelivered("reader"); }));
+  // One link delivers the read, which leaves a state and breaks; the next attempt's link stays silent.
+  const std::vector<FaultProxy*> links = site.links("reader");
+  const bool is_at_first = links[0]->is_holding_back(FaultProxy::Direction::kToReplica);
+  links[is_at_first ? 0 : 1]->restore();
+  REQUIRE(site.until([&] { return site.ledger.is_held("dddd01"); }));
+  REQUIRE(site.until([&] { return !site.ledger.is_held("dddd01") || client->is_finished(); }));
+  CHECK_FALSE(client->is_finished());
+  CHECK(site.ledger.releases("dddd01") > 0);
+}
+
+TEST_CASE("a state behind a silent writer is released in time during a drain", "[faults]") {
+  FaultSite site;
+  site.open_connections();
+  silence(site.links("writer"));
+  const auto client = site.post("eeee01", "command");
+  REQUIRE(site.until([&] { return site.ledger.is_held("eeee01"); }));
+  site.daemon.signal(SIGTERM);
+  site.daemon.signal(SIGHUP);
+  site.daemon.signal(SIGTERM);
+  REQUIRE(site.until([&] { return !site.ledger.is_held("eeee01") || client->is_finished(); }));
+  CHECK_FALSE(client->is_finished());
+  CHECK(site.until([&] { return client->is_finished(); }));
+  CHECK(site.until([&] { return site.daemon.has_ended(); }));
+  CHECK(site.daemon.wait_end() == 0);
+}
+
+TEST_CASE("a state behind a silent writer is released in time by a daemon that was stopped for a moment",
+          "[faults]") {
+  FaultSite site;
+  site.open_connections();
+  silence(site.links("writer"));
+  const auto client = site.post("eeee02", "command");
+  REQUIRE(site.until([&] { return site.ledger.is_held("eeee02"); }));
+  site.daemon.signal(SIGSTOP);
+  std::this_thread::sleep_for(milliseconds(150));
+  site.daemon.signal(SIGCONT);
+  REQUIRE(site.until([&] { return !site.ledger.is_held("eeee02") || client->is_finished(); }));
+  CHECK_FALSE(client->is_finished());
+}
+
+TEST_CASE("a state that a cancelled read leaves behind a silent link is released", "[faults]") {
+  FaultSite site;
+  site.open_connections();
+  site.slow_reads.insert("ffff01");
+  const auto client = site.post("ffff01", "command");
+  REQUIRE(site.until([&] { return site.attempts("reader", "ffff01") == 1; }));
+  silence(site.links("reader"));
+  client->close();
+  REQUIRE(site.until([&] { return site.ledger.releases("ffff01") > 0; }));
+  site.ledger.on_read("ffff01");
+  CHECK(site.until([&] { return !site.ledger.is_held("ffff01"); }));
 }
 
 }  // namespace
