--- a/src/upstream/reservation_releaser.cpp
+++ b/src/upstream/reservation_releaser.cpp
@@ -41,9 +41,9 @@
 }
 
 Time ReservationReleaser::repeated_until(const Release& release) {
-  const Time heard_or_not = std::max(release.repeat_until, release.late_reads.until);
-  if (release.late_reads.silent_reader.empty()) return heard_or_not;
-  return std::max(heard_or_not, release.late_reads.silent_until);
+  const Time earliest_end = std::max(release.repeat_until, release.late_reads.until);
+  if (release.late_reads.silent_reader.empty()) return earliest_end;
+  return std::max(earliest_end, release.late_reads.silent_until);
 }
 
 // A reader that answers the first round at once has a link that works, and has noticed that its attempt was
@@ -143,11 +143,11 @@
     started_calls_.push_back({clock_(), request_id, call});
     ++call_count_;
   }
-  forget_ended_calls();
+  drop_oldest_started_calls();
 }
 
-// Bounds the order of calls, which may name some that have ended.
-void ReservationReleaser::forget_ended_calls() {
+// Bounds started_calls_, which may name calls that have ended.
+void ReservationReleaser::drop_oldest_started_calls() {
   constexpr std::size_t kOrderFactor = 4;
   while (started_calls_.size() > kOrderFactor * limits_.max_calls) started_calls_.pop_front();
 }
--- a/src/upstream/reservation_releaser.hpp
+++ b/src/upstream/reservation_releaser.hpp
@@ -91,7 +91,7 @@
   [[nodiscard]] std::size_t available_calls(const Release& release);
   void close_longest_call(Time started_before);
   [[nodiscard]] bool is_under_way(const StartedCall& started) const;
-  void forget_ended_calls();
+  void drop_oldest_started_calls();
   [[nodiscard]] std::vector<EndpointId> choose_targets(Release& release, Time now);
   void schedule_repeat(const RequestId& request_id, Release& release, Time now);
   // Closes the oldest calls, so that `remaining` are left.
