--- a/src/routing/endpoint.hpp
+++ b/src/routing/endpoint.hpp
@@ -34,11 +34,6 @@
   auto operator<=>(const RejectedGroup&) const = default;
 };
 
-// Whether the report says anything that the router knows how to use.
-[[nodiscard]] inline bool has_known_field(const LoadReport& report) {
-  return report.in_flight || report.memory_share || report.prompt_kilotokens;
-}
-
 // One endpoint: as listed, with its load and its health as this router observes them.
 struct Endpoint : EndpointInfo, RestartPersistentState {
   double local_write_share = 1;      // part of what is read here that can be written in its cell or zone
@@ -62,13 +57,11 @@
 
   // Stores a load report; one without any known field is ignored.
   void record_report(const LoadReport& received, Time now) {
-    if (!has_known_field(received)) return;
+    if (!received.in_flight && !received.memory_share && !received.prompt_kilotokens) return;
     report = received;
     reported_at = now;
     tokens_since_report = 0;
   }
-  // Whether it has reported its load since it was listed, or restarted.
-  [[nodiscard]] bool has_reported() const { return has_known_field(report); }
   [[nodiscard]] bool is_idle() const { return active_reads == 0 && active_streams == 0; }
   // Whether an own attempt there has had no result yet.
   [[nodiscard]] bool has_unanswered_attempt() const {
--- a/src/routing/endpoint_table.cpp
+++ b/src/routing/endpoint_table.cpp
@@ -34,7 +34,6 @@
   role.ejected += endpoint.is_ejected ? 1 : 0;
   role.queue_delay_ratio_sum += endpoint.queue_delay_ratio;
   role.delayed += endpoint.queue_delay_ratio > 0 ? 1 : 0;
-  role.reporting_work += endpoint.report.prompt_kilotokens ? 1 : 0;
   role.prompt_tokens += kTokensPerKilotoken * endpoint.report.prompt_kilotokens.value_or(0);
   role.memory_share += endpoint.report.memory_share.value_or(0);
 }
--- a/src/routing/endpoint_table.hpp
+++ b/src/routing/endpoint_table.hpp
@@ -16,7 +16,6 @@
 // Sums and means over a role's ready endpoints: one router sees too little of a single endpoint.
 struct RoleStatistics {
   double ready = 0, ejected = 0;  // numbers of endpoints
-  double reporting_work = 0;      // endpoints whose report has their waiting prompt tokens
   double queue_delay_ratio_sum = 0;
   double delayed = 0;        // endpoints with a queue delay
   double prompt_tokens = 0;  // mean over the endpoints that report
--- a/src/routing/load_estimate.hpp
+++ b/src/routing/load_estimate.hpp
@@ -3,8 +3,6 @@
 #ifndef DISPATCHER_ROUTING_LOAD_ESTIMATE_HPP_
 #define DISPATCHER_ROUTING_LOAD_ESTIMATE_HPP_
 
-#include <array>
-
 #include "routing/context.hpp"
 #include "routing/endpoint_table.hpp"
 
@@ -17,18 +15,10 @@
 // A reported value, moved towards the mean of all reports the more, the older it is.
 [[nodiscard]] double aged_report(const Context& context, const Endpoint& endpoint, double value, double mean);
 
-// Work in prompt tokens at full capacity, by role_index().
-using WorkByRole = std::array<double, kRoles>;
-
-// Work that waits at an endpoint of each role that has not reported any: the average of those that have, with
-// this router's own sends; less where few have reported. `statistics`: of the same endpoints.
-[[nodiscard]] WorkByRole unreported_work(const Context& context, const EndpointTable& endpoints,
-                                         const std::array<RoleStatistics, kRoles>& statistics);
-
 // Work that waits at an endpoint which reads prompts, in prompt tokens; more at one that is slow or warming
-// up, by the same factor. `unreported_work`: that of its role.
-[[nodiscard]] double prompt_load(const Context& context, const Endpoint& endpoint, const RoleStatistics& role,
-                                 double unreported_work);
+// up, by the same factor.
+[[nodiscard]] double prompt_load(const Context& context, const Endpoint& endpoint,
+                                 const RoleStatistics& role);
 
 // Streams at a writer with one more request; more at one that is slow or warming up, by the same factor.
 [[nodiscard]] double stream_load(const Context& context, const Endpoint& endpoint);
--- a/src/routing/reader_selection.cpp
+++ b/src/routing/reader_selection.cpp
@@ -40,7 +40,6 @@
 // Loads of the ready endpoints, eligible or not; arrays are by role_index().
 struct RoleLoads {
   std::array<RoleStatistics, kRoles> statistics;
-  WorkByRole unreported_work;
   std::array<double, kRoles> sum{}, count{};
   double max_states = kMinFullStates;  // at the reader with the most waiting states
 };
@@ -67,8 +66,7 @@
     if (endpoint.state != EndpointState::kReady || endpoint.role == Role::kWriter) continue;
     const std::size_t role = role_index(endpoint.role);
     loads.max_states = std::max(loads.max_states, static_cast<double>(endpoint.waiting_states));
-    const double load =
-        prompt_load(selection.context, endpoint, loads.statistics[role], loads.unreported_work[role]);
+    const double load = prompt_load(selection.context, endpoint, loads.statistics[role]);
     loads.sum[role] += load;
     loads.count[role] += 1;
     const bool executes = endpoint.role == Role::kMixed;
@@ -127,8 +125,7 @@
 // 1.
 Endpoint* choose_best(const SelectionContext& selection, const RoleBalance& balance,
                       const RequestState& state) {
-  const auto statistics = selection.endpoints.statistics_by_role();
-  RoleLoads loads{statistics, unreported_work(selection.context, selection.endpoints, statistics)};
+  RoleLoads loads{selection.endpoints.statistics_by_role()};
   std::vector<Candidate> candidates = find_candidates(selection, state, loads);
   for (Candidate& candidate : candidates) normalize(selection, balance, loads, candidate);
   const double max_score = set_scores(selection, state, candidates);
