--- a/review/1/case.py
+++ b/review/1/case.py
@@ -124,8 +124,7 @@
         await discovery.start()
         for kind in ("reader", "writer"):
             for index in range(3):
-                replica = Replica(fleet, "%s%d" % (kind, index), kind, read_s=0.03, spread_s=0.5, tokens=10,
-                                  token_s=0.12)
+                replica = Replica(fleet, "%s%d" % (kind, index), kind, read_s=0.03, tokens=10, token_s=0.12)
                 await replica.start()
                 discovery.add(replica)
         addresses = ["127.0.0.1:%d" % free_port() for _ in range(DISPATCHERS)]
--- a/review/standins.py
+++ b/review/standins.py
@@ -156,11 +156,11 @@
 
 
 class Replica:
-    """A reader answers 202 after read_s and up to spread_s more. A writer streams `tokens` events."""
+    """A reader answers 202 after read_s. A writer streams `tokens` events."""
 
-    def __init__(self, fleet, name, kind, read_s=0.03, spread_s=0.0, wait_s=0.02, tokens=20, token_s=0.05):
+    def __init__(self, fleet, name, kind, read_s=0.03, wait_s=0.02, tokens=20, token_s=0.05):
         self.fleet, self.name, self.kind, self.site, self.block = fleet, name, kind, "za", 0
-        self.read_s, self.spread_s, self.wait_s, self.tokens, self.token_s = read_s, spread_s, wait_s, tokens, token_s
+        self.read_s, self.wait_s, self.tokens, self.token_s = read_s, wait_s, tokens, token_s
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
@@ -202,7 +202,7 @@
         if self.kind == "reader":
             fleet.reads[request] = fleet.reads.get(request, 0) + 1
             fleet.record("%s reads %s" % (self.name, request))
-            await asyncio.sleep(self.read_s + self.spread_s * random.random())
+            await asyncio.sleep(self.read_s)
             if writer.is_closing() or reader.at_eof():
                 fleet.record("%s dropped %s: its attempt was closed" % (self.name, request))
                 return
