Hot restart logs streams handed over and taken over, and how its channel ended

The old process now logs the number of streams that it handed over before `drained`, the new one how many it took over and whether the channel was closed, reset, found closed by a send, full or broken. Behaviour is unchanged.

--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstddef>
 #include <exception>
 #include <utility>
 
@@ -224,6 +225,8 @@
                                   [this] { finish_draining(); });
     return;
   }
+  if (const std::size_t streams = components_.hot_restart_peer.transferred_streams(); streams > 0)
+    components_.log("upgrade: " + std::to_string(streams) + " streams handed over");
   components_.log("drained");
   components_.hot_restart_peer.close();
   components_.loop.stop();
--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -16,8 +16,30 @@
 // unread; the limit bounds memory.
 constexpr std::size_t kMaxQueuedMessages = 10000;
 
+// Returns what a status that is not kReceived or kWouldBlock says about the end of the channel.
+ChannelEnd end_of(ReceiveStatus status) {
+  if (status == ReceiveStatus::kReset) return ChannelEnd::kReset;
+  return status == ReceiveStatus::kClosed ? ChannelEnd::kClosed : ChannelEnd::kBroken;
+}
+
 }  // namespace
 
+std::string_view to_text(ChannelEnd end) {
+  switch (end) {
+    case ChannelEnd::kClosed:
+      return "closed";
+    case ChannelEnd::kReset:
+      return "reset";
+    case ChannelEnd::kSendFailed:
+      return "send failed";
+    case ChannelEnd::kQueueFull:
+      return "queue full";
+    case ChannelEnd::kBroken:
+      return "broken";
+  }
+  return "";
+}
+
 HandoverChannel::HandoverChannel(asio::io_context& io, net::UniqueFd socket, Owner& owner)
     : socket_(io, socket.release()), owner_(&owner) {}
 
@@ -36,7 +58,7 @@
   if (outgoing.text.size() > kMaxPacketBytes || descriptors.size() > kMaxPacketDescriptors) return false;
   for (const int fd : descriptors) outgoing.descriptors.emplace_back(::fcntl(fd, F_DUPFD_CLOEXEC, 0));
   outgoing_.push_back(std::move(outgoing));
-  if (outgoing_.size() > kMaxQueuedMessages) disconnect();
+  if (outgoing_.size() > kMaxQueuedMessages) disconnect(ChannelEnd::kQueueFull);
   if (outgoing_.size() > 1) return true;
   const SendStatus status = send_now(outgoing_.front());
   if (status == SendStatus::kSent || status == SendStatus::kTooLong) {
@@ -65,7 +87,7 @@
   while (!outgoing_.empty()) {
     const SendStatus status = send_now(outgoing_.front());
     if (status == SendStatus::kWouldBlock) return wait_until_writable();
-    if (status == SendStatus::kBroken) return disconnect();
+    if (status == SendStatus::kBroken) return disconnect(ChannelEnd::kSendFailed);
     outgoing_.pop_front();
   }
 }
@@ -86,8 +108,8 @@
 bool HandoverChannel::receive_one() {
   ReceivedPacket packet = receive_packet(socket_.native_handle(), receive_buffer_);
   if (packet.status == ReceiveStatus::kWouldBlock) return false;
-  if (packet.status == ReceiveStatus::kClosed) {
-    disconnect();
+  if (packet.status != ReceiveStatus::kReceived) {
+    disconnect(end_of(packet.status));
     return false;
   }
   const char* text = receive_buffer_.data();
@@ -97,13 +119,13 @@
   return true;
 }
 
-void HandoverChannel::disconnect() {
+void HandoverChannel::disconnect(ChannelEnd end) {
   Owner* owner = std::exchange(owner_, nullptr);
   if (owner == nullptr) return;
-  asio::post(socket_.get_executor(), [self = shared_from_this(), owner] {
+  asio::post(socket_.get_executor(), [self = shared_from_this(), owner, end] {
     if (!self->socket_.is_open()) return;  // the owner has called close() in the meantime
     self->close();
-    owner->on_channel_closed();
+    owner->on_channel_closed(end);
   });
 }
 
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "hot_restart/packet_socket.hpp"
@@ -19,6 +20,18 @@
 
 using Json = nlohmann::json;
 
+// What ended a channel.
+enum class ChannelEnd {
+  kClosed,      // the other side has closed it
+  kReset,       // the other side has closed it without reading everything that was sent to it
+  kSendFailed,  // a message could not be sent, because the other side has closed it
+  kQueueFull,   // the other side has stopped reading
+  kBroken,      // the connection is lost for another reason
+};
+
+// Returns the name of a channel's end for the log.
+[[nodiscard]] std::string_view to_text(ChannelEnd end);
+
 // One end of the connection. Used on the event loop's thread only. Pending reads and writes share ownership
 // of the channel with its holder. The owner must call close() before it is destroyed.
 class HandoverChannel : public std::enable_shared_from_this<HandoverChannel> {
@@ -32,7 +45,7 @@
     virtual void on_message(const Json& message, Descriptors descriptors) = 0;
     // Called when the other side has closed the connection or has stopped reading. Called once, after all
     // other calls.
-    virtual void on_channel_closed() = 0;
+    virtual void on_channel_closed(ChannelEnd end) = 0;
   };
   HandoverChannel(boost::asio::io_context& io, net::UniqueFd socket, Owner& owner);
   // Returns null if no process listens at the path.
@@ -60,7 +73,7 @@
   void wait_for_packet();
   void receive_all();
   [[nodiscard]] bool receive_one();  // returns false if no packet is available
-  void disconnect();
+  void disconnect(ChannelEnd end);
 
   boost::asio::posix::stream_descriptor socket_;
   Owner* owner_;  // null once closed or disconnected
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -121,6 +121,7 @@
 
 void HotRestartPeer::handle(const StreamTransfer& message, Descriptors& descriptors) {
   if (descriptors.size() != kStreamDescriptors) return;
+  ++received_streams_;
   owner_.on_stream(message, std::move(descriptors[0]), std::move(descriptors[1]));
 }
 
@@ -133,13 +134,15 @@
   owner_.on_vrrp_left(message.role);
 }
 
-void HotRestartPeer::on_channel_closed(Connection& connection) {
+void HotRestartPeer::on_channel_closed(Connection& connection, ChannelEnd end) {
   connection.channel.reset();
+  const std::string end_text = " (channel " + std::string(to_text(end)) + ")";
   if (connection.role == PeerRole::kSuccessor) {
     is_successor_serving_ = false;
-    log_("upgrade: the successor has ended");
+    log_("upgrade: the successor has ended" + end_text);
   } else {
-    log_("upgrade: the predecessor has ended");
+    log_("upgrade: the predecessor has ended" + end_text + ", " + std::to_string(received_streams_) +
+         " streams taken over");
   }
   start_without_handover();
   owner_.on_peers_changed();
@@ -165,6 +168,7 @@
 }
 
 void HotRestartPeer::transfer_stream(const StreamTransfer& stream, int client, int upstream) {
+  ++transferred_streams_;
   successor_.channel->send(encode(stream), {client, upstream});
 }
 
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -9,6 +9,7 @@
 #define DISPATCHER_HOT_RESTART_HOT_RESTART_PEER_HPP_
 
 #include <boost/asio/io_context.hpp>
+#include <cstddef>
 #include <map>
 #include <memory>
 #include <string>
@@ -94,6 +95,8 @@
   // Hands a stream over to the successor, which must be serving. The caller keeps the sockets, and copies are
   // sent.
   void transfer_stream(const StreamTransfer& stream, int client, int upstream);
+  // Returns the number of streams that were handed over to successors, for the log.
+  [[nodiscard]] std::size_t transferred_streams() const { return transferred_streams_; }
   // engine::HotRestartObserver
   void on_request_progress(const routing::RequestId& id, engine::RequestProgress progress) override;
   void on_attempt_started(const routing::EndpointId& endpoint) override;
@@ -105,7 +108,7 @@
     void on_message(const Json& message, Descriptors descriptors) override {
       peer.on_message(role, message, std::move(descriptors));
     }
-    void on_channel_closed() override { peer.on_channel_closed(*this); }
+    void on_channel_closed(ChannelEnd end) override { peer.on_channel_closed(*this, end); }
     HotRestartPeer& peer;
     PeerRole role;                             // the role of the other process
     std::shared_ptr<HandoverChannel> channel;  // null if it is not connected
@@ -123,7 +126,7 @@
   void handle(const StreamTransfer& message, Descriptors& descriptors);
   void handle(const InvalidStreamTransfer& message, Descriptors& descriptors);
   void handle(const VrrpLeft& message, Descriptors& descriptors);
-  void on_channel_closed(Connection& connection);
+  void on_channel_closed(Connection& connection, ChannelEnd end);
   void broadcast(const Json& message);
 
   boost::asio::io_context& io_;
@@ -137,6 +140,8 @@
   Connection successor_{*this, PeerRole::kSuccessor};
   bool has_state_ = false;  // whether on_handover() was called
   bool is_successor_serving_ = false;
+  std::size_t transferred_streams_ = 0;  // handed over to successors
+  std::size_t received_streams_ = 0;     // taken over from the predecessor
   engine::TimerId handover_timer_;
 };
 
--- a/src/hot_restart/packet_socket.cpp
+++ b/src/hot_restart/packet_socket.cpp
@@ -128,7 +128,8 @@
   header.msg_controllen = ancillary.bytes.size();
   const auto size = ::recvmsg(socket, &header, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
   if (size < 0 && (would_block(errno) || errno == EINTR)) return {ReceiveStatus::kWouldBlock, 0, {}};
-  if (size <= 0) return {ReceiveStatus::kClosed, 0, {}};
+  if (size < 0) return {errno == ECONNRESET ? ReceiveStatus::kReset : ReceiveStatus::kBroken, 0, {}};
+  if (size == 0) return {ReceiveStatus::kClosed, 0, {}};
   return {ReceiveStatus::kReceived, static_cast<std::size_t>(size), extract_descriptors(header)};
 }
 
--- a/src/hot_restart/packet_socket.hpp
+++ b/src/hot_restart/packet_socket.hpp
@@ -32,7 +32,9 @@
 enum class ReceiveStatus {
   kReceived,
   kWouldBlock,  // there is no packet yet
-  kClosed,      // the other side has closed, or the connection is lost
+  kClosed,      // the other side has closed
+  kReset,       // the other side has closed without reading all packets that were sent to it
+  kBroken,      // the connection is lost for another reason
 };
 
 // A received packet, or the reason why there is none.
--- a/tests/hot_restart/hot_restart_state_test.cpp
+++ b/tests/hot_restart/hot_restart_state_test.cpp
@@ -59,7 +59,7 @@
     messages.push_back(message);
     for (auto& fd : received) descriptors.push_back(std::move(fd));
   }
-  void on_channel_closed() override { has_ended = true; }
+  void on_channel_closed(hot_restart::ChannelEnd) override { has_ended = true; }
   std::vector<Json> messages;
   hot_restart::Descriptors descriptors;
   bool has_ended = false;
