Hot restart: packets that wait are received after the old process has ended (ECONNRESET)

Cause: the old process hands over its last streams and ends in the same timer. Where it ended with messages of the new one unread, Linux reports ECONNRESET to the new one, once and before the packets that still wait. receive_packet() took it for the end, and the channel was closed with the streams in it.

Change: the reset is remembered, and reading goes on; the end of the connection follows the last packet.

The test, which closes the other end with a message unread and three packets on their way, failed before: none of the three was received. RawSocket moves to a header of its own for it, unchanged.

--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -16,12 +16,6 @@
 // unread; the limit bounds memory.
 constexpr std::size_t kMaxQueuedMessages = 10000;
 
-// Returns what a status that is not kReceived or kWouldBlock says about the end of the channel.
-ChannelEnd end_of(ReceiveStatus status) {
-  if (status == ReceiveStatus::kReset) return ChannelEnd::kReset;
-  return status == ReceiveStatus::kClosed ? ChannelEnd::kClosed : ChannelEnd::kBroken;
-}
-
 }  // namespace
 
 std::string_view to_text(ChannelEnd end) {
@@ -108,8 +102,12 @@
 bool HandoverChannel::receive_one() {
   ReceivedPacket packet = receive_packet(socket_.native_handle(), receive_buffer_);
   if (packet.status == ReceiveStatus::kWouldBlock) return false;
+  if (packet.status == ReceiveStatus::kReset) {
+    is_reset_ = true;
+    return true;
+  }
   if (packet.status != ReceiveStatus::kReceived) {
-    disconnect(end_of(packet.status));
+    disconnect(packet.status == ReceiveStatus::kClosed ? closed_end() : ChannelEnd::kBroken);
     return false;
   }
   const char* text = receive_buffer_.data();
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -73,6 +73,9 @@
   void wait_for_packet();
   void receive_all();
   [[nodiscard]] bool receive_one();  // returns false if no packet is available
+  [[nodiscard]] ChannelEnd closed_end() const {
+    return is_reset_ ? ChannelEnd::kReset : ChannelEnd::kClosed;
+  }
   void disconnect(ChannelEnd end);
 
   boost::asio::posix::stream_descriptor socket_;
@@ -80,6 +83,7 @@
   std::deque<OutgoingMessage> outgoing_;
   std::vector<char> receive_buffer_;  // allocated once, since it is large
   bool is_waiting_until_writable_ = false;
+  bool is_reset_ = false;  // whether the other side has closed without reading everything
 };
 
 // Accepts connections from successors. Owned by HotRestartPeer and used on the event loop's thread only.
--- a/src/hot_restart/packet_socket.hpp
+++ b/src/hot_restart/packet_socket.hpp
@@ -32,8 +32,10 @@
 enum class ReceiveStatus {
   kReceived,
   kWouldBlock,  // there is no packet yet
-  kClosed,      // the other side has closed
-  kReset,       // the other side has closed without reading all packets that were sent to it
+  kClosed,      // the other side has closed, and everything that it sent was received
+  // The other side has closed without reading everything. This is reported once, before the packets that it
+  // sent and that still wait.
+  kReset,
   kBroken,      // the connection is lost for another reason
 };
 
--- /dev/null
+++ b/tests/hot_restart/handover_channel_test.cpp
@@ -0,0 +1,77 @@
+// Tests the connection between the two processes of a hot restart where one of them ends, stops reading or
+// lacks descriptors: no message that the kernel has accepted may be lost, nor the sockets that came with it.
+#include "hot_restart/handover_channel.hpp"
+
+#include "raw_socket.hpp"
+#include "tests/fixtures/dispatcher_fixture.hpp"
+
+namespace dispatcher::testing {
+namespace {
+
+using hot_restart::ChannelEnd;
+using hot_restart::HandoverChannel;
+using hot_restart::Json;
+
+// Records the events of a channel, and checks that none follows its end.
+struct RecordingOwner : HandoverChannel::Owner {
+  struct Received {
+    int number = 0;
+    std::size_t descriptors = 0;
+    bool operator==(const Received&) const = default;
+  };
+  void on_message(const Json& message, hot_restart::Descriptors descriptors) override {
+    CHECK_FALSE(end);
+    for (const net::UniqueFd& descriptor : descriptors) CHECK(descriptor);
+    received.push_back({message.at("number").get<int>(), descriptors.size()});
+  }
+  void on_channel_closed(ChannelEnd channel_end) override {
+    CHECK_FALSE(end);
+    end = channel_end;
+  }
+  std::vector<Received> received;
+  std::optional<ChannelEnd> end;
+};
+
+// A channel of this process whose other end is a raw socket.
+struct ChannelFixture {
+  ChannelFixture() {
+    std::array<int, 2> ends{};
+    REQUIRE(::socketpair(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0, ends.data()) == 0);
+    other.emplace(net::UniqueFd(ends[1]));
+    channel = std::make_shared<HandoverChannel>(loop.io, net::UniqueFd(ends[0]), owner);
+    channel->start();
+  }
+  ~ChannelFixture() { channel->close(); }
+  ChannelFixture(const ChannelFixture&) = delete;
+  ChannelFixture& operator=(const ChannelFixture&) = delete;
+
+  // Sends messages with the numbers 1 to 3 from the other end, each with two descriptors, as streams have.
+  void send_three_from_other() const {
+    for (const char* text : {R"({"number":1})", R"({"number":2})", R"({"number":3})"})
+      other->send(text, {STDIN_FILENO, STDOUT_FILENO});
+  }
+  void expect_three_before_the_end(ChannelEnd end) {
+    REQUIRE(loop.until([&] { return owner.end.has_value(); }));
+    CHECK(owner.end == end);
+    CHECK(owner.received == std::vector<RecordingOwner::Received>{{1, 2}, {2, 2}, {3, 2}});
+  }
+
+  TestEventLoop loop;
+  RecordingOwner owner;
+  std::optional<RawSocket> other;  // closed by reset()
+  std::shared_ptr<HandoverChannel> channel;
+};
+
+// Guards against streams that are cut because the old process ended with messages of the new one unread: the
+// kernel reports this to the new process as ECONNRESET, before the packets that still wait for it.
+TEST_CASE("packets that wait are received after the other process has ended without reading all of its own",
+          "[upgrade]") {
+  ChannelFixture fixture;
+  fixture.channel->send({{"number", 7}});  // never read
+  fixture.send_three_from_other();
+  fixture.other.reset();
+  fixture.expect_three_before_the_end(ChannelEnd::kReset);
+}
+
+}  // namespace
+}  // namespace dispatcher::testing
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -1,18 +1,13 @@
 // Tests the hand-over between this release and the previous one, in both directions. The literals are what
 // the previous release wrote to its socket and its file, recorded from its library. They must never be
 // changed to match the code, since a process of that release may be the other end.
-#include <sys/socket.h>
-#include <sys/un.h>
-#include <unistd.h>
-
-#include <array>
-#include <cstring>
 #include <fstream>
 #include <iterator>
 
 #include "hot_restart/drained_endpoint_store.hpp"
 #include "hot_restart/hot_restart_peer.hpp"
 #include "hot_restart_fixture.hpp"
+#include "raw_socket.hpp"
 #include "tests/fixtures/daemon_fixture.hpp"
 
 namespace dispatcher::testing {
@@ -48,94 +43,6 @@
     R"({"stream":{"chunk_left":17,"host":"w1","id":"a1","keep_alive":true,"unread":[100,97,10,255]}})";
 constexpr std::string_view kDrainedEndpointsFile = R"({"offline":["r\"1","w1"]})";
 
-// A received packet. Its descriptors were counted and closed.
-struct Packet {
-  std::string text;
-  std::size_t descriptors = 0;
-};
-
-// The other process's end of the connection, written with system calls alone and no code of this release.
-class RawSocket {
- public:
-  static RawSocket connect(const std::string& path) {
-    RawSocket socket(make());
-    const sockaddr_un address = address_of(path);
-    REQUIRE(::connect(socket.fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-    return socket;
-  }
-  static RawSocket listen(const std::string& path) {
-    RawSocket socket(make());
-    const sockaddr_un address = address_of(path);
-    REQUIRE(::bind(socket.fd_.get(), reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
-    REQUIRE(::listen(socket.fd_.get(), 1) == 0);
-    return socket;
-  }
-  [[nodiscard]] RawSocket accept() const {
-    RawSocket socket(net::UniqueFd(::accept(fd_.get(), nullptr, nullptr)));
-    REQUIRE(socket.fd_);
-    return socket;
-  }
-  void send(std::string_view text, const std::vector<int>& descriptors = {}) const {
-    iovec piece{const_cast<char*>(text.data()), text.size()};
-    msghdr head{};
-    head.msg_iov = &piece;
-    head.msg_iovlen = 1;
-    alignas(cmsghdr) std::array<char, CMSG_SPACE(sizeof(int) * 2)> ancillary{};
-    if (!descriptors.empty()) {
-      REQUIRE(descriptors.size() == 2);
-      head.msg_control = ancillary.data();
-      head.msg_controllen = ancillary.size();
-      cmsghdr* control = CMSG_FIRSTHDR(&head);
-      control->cmsg_level = SOL_SOCKET;
-      control->cmsg_type = SCM_RIGHTS;
-      control->cmsg_len = CMSG_LEN(sizeof(int) * 2);
-      std::memcpy(CMSG_DATA(control), descriptors.data(), sizeof(int) * 2);
-    }
-    REQUIRE(::sendmsg(fd_.get(), &head, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
-  }
-  // Returns nullopt if there is no packet yet.
-  [[nodiscard]] std::optional<Packet> receive() const {
-    std::string text(1024UL * 1024, '\0');
-    iovec piece{text.data(), text.size()};
-    msghdr head{};
-    head.msg_iov = &piece;
-    head.msg_iovlen = 1;
-    alignas(cmsghdr) std::array<char, 256> ancillary{};
-    head.msg_control = ancillary.data();
-    head.msg_controllen = ancillary.size();
-    const auto size = ::recvmsg(fd_.get(), &head, MSG_DONTWAIT | MSG_CMSG_CLOEXEC);
-    if (size <= 0) return std::nullopt;
-    text.resize(static_cast<std::size_t>(size));
-    Packet packet{std::move(text)};
-    for (cmsghdr* control = CMSG_FIRSTHDR(&head); control != nullptr; control = CMSG_NXTHDR(&head, control)) {
-      const std::size_t count = (control->cmsg_len - CMSG_LEN(0)) / sizeof(int);
-      for (std::size_t i = 0; i < count; ++i) {
-        int fd = -1;
-        std::memcpy(&fd, CMSG_DATA(control) + i * sizeof(int), sizeof(int));
-        ::close(fd);
-      }
-      packet.descriptors += count;
-    }
-    return packet;
-  }
-
- private:
-  explicit RawSocket(net::UniqueFd fd) : fd_(std::move(fd)) {}
-  static net::UniqueFd make() {
-    net::UniqueFd fd(::socket(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0));
-    REQUIRE(fd);
-    return fd;
-  }
-  static sockaddr_un address_of(const std::string& path) {
-    sockaddr_un address{};
-    address.sun_family = AF_UNIX;
-    REQUIRE(path.size() < sizeof address.sun_path);
-    std::memcpy(address.sun_path, path.c_str(), path.size());
-    return address;
-  }
-  net::UniqueFd fd_;
-};
-
 // An owner with the state that the previous release had when its messages were recorded. Records all events.
 struct RecordedOwner : hot_restart::HotRestartPeer::Owner {
   Json endpoint_list() override {
