Hot restart: packets that wait are received after a message to the old process has failed

Cause: the new process notifies the old one of its requests. Where the old one had just ended, the message failed, and send_queued() closed the channel without reading the streams that waited in it. The same happened where too many messages were queued for an old process that did not read.

Change: a channel that can no longer be sent to is shut down in both directions, read to its end and then reported as closed. The shutdown makes what the other side sends from then on fail there, so that nothing can arrive between the last read and the close.

--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -47,20 +47,22 @@
 }
 
 bool HandoverChannel::send(const Json& message, const std::vector<int>& descriptors) {
-  if (owner_ == nullptr) return true;
+  if (end_) return true;
   OutgoingMessage outgoing{message.dump(-1, ' ', false, Json::error_handler_t::replace), {}};
   if (outgoing.text.size() > kMaxPacketBytes || descriptors.size() > kMaxPacketDescriptors) return false;
   for (const int fd : descriptors) outgoing.descriptors.emplace_back(::fcntl(fd, F_DUPFD_CLOEXEC, 0));
+  if (outgoing_.empty()) {
+    const SendStatus status = send_now(outgoing);
+    if (status == SendStatus::kBroken) disconnect(ChannelEnd::kSendFailed);
+    if (status != SendStatus::kWouldBlock) return status != SendStatus::kTooLong;
+  }
   outgoing_.push_back(std::move(outgoing));
-  if (outgoing_.size() > kMaxQueuedMessages) disconnect(ChannelEnd::kQueueFull);
-  if (outgoing_.size() > 1) return true;
-  const SendStatus status = send_now(outgoing_.front());
-  if (status == SendStatus::kSent || status == SendStatus::kTooLong) {
-    outgoing_.pop_front();
+  if (outgoing_.size() > kMaxQueuedMessages) {
+    disconnect(ChannelEnd::kQueueFull);
   } else {
     wait_until_writable();
   }
-  return status != SendStatus::kTooLong;
+  return true;
 }
 
 SendStatus HandoverChannel::send_now(const OutgoingMessage& message) {
@@ -68,12 +70,12 @@
 }
 
 void HandoverChannel::wait_until_writable() {
-  if (is_waiting_until_writable_ || owner_ == nullptr) return;
+  if (is_waiting_until_writable_) return;
   is_waiting_until_writable_ = true;
   socket_.async_wait(asio::posix::descriptor_base::wait_write,
                      [self = shared_from_this()](boost::system::error_code error) {
                        self->is_waiting_until_writable_ = false;
-                       if (!error && self->owner_ != nullptr) self->send_queued();
+                       if (!error && !self->end_) self->send_queued();
                      });
 }
 
@@ -103,11 +105,12 @@
   ReceivedPacket packet = receive_packet(socket_.native_handle(), receive_buffer_);
   if (packet.status == ReceiveStatus::kWouldBlock) return false;
   if (packet.status == ReceiveStatus::kReset) {
-    is_reset_ = true;
+    if (!end_) end_ = ChannelEnd::kReset;
     return true;
   }
   if (packet.status != ReceiveStatus::kReceived) {
-    disconnect(packet.status == ReceiveStatus::kClosed ? closed_end() : ChannelEnd::kBroken);
+    if (!end_) end_ = packet.status == ReceiveStatus::kClosed ? ChannelEnd::kClosed : ChannelEnd::kBroken;
+    report_end();
     return false;
   }
   const char* text = receive_buffer_.data();
@@ -117,14 +120,19 @@
   return true;
 }
 
+// Receives what still waits before the end is reported. The other side may have sent streams, and then ended.
 void HandoverChannel::disconnect(ChannelEnd end) {
-  Owner* owner = std::exchange(owner_, nullptr);
-  if (owner == nullptr) return;
-  asio::post(socket_.get_executor(), [self = shared_from_this(), owner, end] {
-    if (!self->socket_.is_open()) return;  // the owner has called close() in the meantime
-    self->close();
-    owner->on_channel_closed(end);
-  });
+  if (end_) return;
+  end_ = end;
+  outgoing_.clear();
+  shut_down_packet_socket(socket_.native_handle());
+  asio::post(socket_.get_executor(), [self = shared_from_this()] { self->receive_all(); });
+}
+
+void HandoverChannel::report_end() {
+  Owner* owner = owner_;
+  close();
+  owner->on_channel_closed(*end_);
 }
 
 void HandoverChannel::close() {
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,7 +33,8 @@
 // Returns the name of a channel's end for the log.
 [[nodiscard]] std::string_view to_text(ChannelEnd end);
 
-// One end of the connection. Used on the event loop's thread only. Pending reads and writes share ownership
+// One end of the connection. Whatever ends it, all messages that the other side has sent are delivered before
+// the end is reported. Used on the event loop's thread only. Pending reads and writes share ownership
 // of the channel with its holder. The owner must call close() before it is destroyed.
 class HandoverChannel : public std::enable_shared_from_this<HandoverChannel> {
  public:
@@ -73,17 +75,15 @@
   void wait_for_packet();
   void receive_all();
   [[nodiscard]] bool receive_one();  // returns false if no packet is available
-  [[nodiscard]] ChannelEnd closed_end() const {
-    return is_reset_ ? ChannelEnd::kReset : ChannelEnd::kClosed;
-  }
   void disconnect(ChannelEnd end);
+  void report_end();
 
   boost::asio::posix::stream_descriptor socket_;
-  Owner* owner_;  // null once closed or disconnected
+  Owner* owner_;  // null once closed
   std::deque<OutgoingMessage> outgoing_;
   std::vector<char> receive_buffer_;  // allocated once, since it is large
   bool is_waiting_until_writable_ = false;
-  bool is_reset_ = false;  // whether the other side has closed without reading everything
+  std::optional<ChannelEnd> end_;  // set once nothing can be sent any more
 };
 
 // Accepts connections from successors. Owned by HotRestartPeer and used on the event loop's thread only.
--- a/src/hot_restart/packet_socket.cpp
+++ b/src/hot_restart/packet_socket.cpp
@@ -133,4 +133,6 @@
   return {ReceiveStatus::kReceived, static_cast<std::size_t>(size), extract_descriptors(header)};
 }
 
+void shut_down_packet_socket(int socket) { ::shutdown(socket, SHUT_RDWR); }
+
 }  // namespace dispatcher::hot_restart
--- a/src/hot_restart/packet_socket.hpp
+++ b/src/hot_restart/packet_socket.hpp
@@ -36,7 +36,7 @@
   // The other side has closed without reading everything. This is reported once, before the packets that it
   // sent and that still wait.
   kReset,
-  kBroken,      // the connection is lost for another reason
+  kBroken,  // the connection is lost for another reason
 };
 
 // A received packet, or the reason why there is none.
@@ -61,6 +61,9 @@
 [[nodiscard]] SendStatus send_packet(int socket, std::string_view text, const Descriptors& descriptors);
 // Receives one packet into `buffer`, which is resized to kMaxPacketBytes.
 [[nodiscard]] ReceivedPacket receive_packet(int socket, std::vector<char>& buffer);
+// Ends the connection in both directions. What the other side sends from now on fails there, so that nothing
+// is added to the packets that wait here, which can still be received. kClosed follows the last of them.
+void shut_down_packet_socket(int socket);
 
 }  // namespace dispatcher::hot_restart
 
--- a/tests/hot_restart/handover_channel_test.cpp
+++ b/tests/hot_restart/handover_channel_test.cpp
@@ -2,6 +2,8 @@
 // lacks descriptors: no message that the kernel has accepted may be lost, nor the sockets that came with it.
 #include "hot_restart/handover_channel.hpp"
 
+#include <functional>
+
 #include "raw_socket.hpp"
 #include "tests/fixtures/dispatcher_fixture.hpp"
 
@@ -23,6 +25,7 @@
     CHECK_FALSE(end);
     for (const net::UniqueFd& descriptor : descriptors) CHECK(descriptor);
     received.push_back({message.at("number").get<int>(), descriptors.size()});
+    if (after_message) after_message();
   }
   void on_channel_closed(ChannelEnd channel_end) override {
     CHECK_FALSE(end);
@@ -30,6 +33,7 @@
   }
   std::vector<Received> received;
   std::optional<ChannelEnd> end;
+  std::function<void()> after_message;
 };
 
 // A channel of this process whose other end is a raw socket.
@@ -73,5 +77,29 @@
   fixture.expect_three_before_the_end(ChannelEnd::kReset);
 }
 
+// Guards against streams that are cut because the new process sent a message after the old one had ended, and
+// closed the channel when that failed.
+TEST_CASE("packets that wait are received after a message could not be sent because the other process ended",
+          "[upgrade]") {
+  ChannelFixture fixture;
+  fixture.send_three_from_other();
+  const bool is_sent_while_receiving = GENERATE(false, true);
+  const auto send = [&] { fixture.channel->send({{"number", 7}}); };
+  if (is_sent_while_receiving) fixture.owner.after_message = send;
+  fixture.other.reset();
+  if (!is_sent_while_receiving) send();
+  fixture.expect_three_before_the_end(ChannelEnd::kSendFailed);
+}
+
+// Guards against streams that are cut because the new process gives up an old one that no longer reads.
+TEST_CASE("packets that wait are received before a channel whose other process has stopped reading is closed",
+          "[upgrade]") {
+  constexpr int kMoreThanIsQueued = 20000;
+  ChannelFixture fixture;
+  fixture.send_three_from_other();
+  for (int i = 0; i < kMoreThanIsQueued; ++i) fixture.channel->send({{"number", i}});
+  fixture.expect_three_before_the_end(ChannelEnd::kQueueFull);
+}
+
 }  // namespace
 }  // namespace dispatcher::testing
