Hot restart: the old process ends only once its successor has received every stream

Callers saw, or would see: their stream ends in the middle when this release is replaced by the one before it, or when it replaces that one, as a successor of that release drops what waits in its socket when the old process ends.

Cause: the old process looked at its own queue alone (is_all_sent()), and ended while messages that the kernel had accepted waited at the successor.

Change: it asks the kernel how much still waits there (SIOCOUTQ), and goes on until that is nothing, or the successor has ended. There is no limit of its own to this wait: the platform ends a process in its time.

--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -213,8 +213,8 @@
   }
 }
 
-// Stops the loop once every accepted request is answered, every stream is handed over or complete, and every
-// reservation is released. Until then checks again after kDrainCheckInterval.
+// Stops the loop once every accepted request is answered, every stream is received by the successor or
+// complete, and every reservation is released. Until then checks again after kDrainCheckInterval.
 void Dispatcher::finish_draining() {
   stream_handover_.hand_over();
   if (has_stopped_accepting_) {
@@ -234,7 +234,7 @@
 
 bool Dispatcher::is_work_left() {
   if (!has_stopped_accepting_) return true;
-  if (!components_.hot_restart_peer.is_all_sent()) return true;
+  if (!components_.hot_restart_peer.has_successor_received_everything()) return true;
   if (components_.engine.open_request_count() > 0) return true;
   if (components_.replica_client.releases_blocking_shutdown() > 0) return true;
   const std::vector<http::Server*> servers = components_.client_servers();
--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -65,6 +65,11 @@
   return true;
 }
 
+bool HandoverChannel::is_everything_received() {
+  if (end_) return true;
+  return outgoing_.empty() && hot_restart::is_everything_received(socket_.native_handle());
+}
+
 SendStatus HandoverChannel::send_now(const OutgoingMessage& message) {
   return send_packet(socket_.native_handle(), message.text, message.descriptors);
 }
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -59,8 +59,8 @@
   // and the other side gets copies. Closes the channel if too many messages are queued. Returns false and
   // doesn't send the message if it is too long for a packet.
   bool send(const Json& message, const std::vector<int>& descriptors = {});
-  // Returns whether no message is queued in this process.
-  [[nodiscard]] bool is_all_sent() const { return outgoing_.empty(); }
+  // Returns whether the other side has received every message, or can't receive any more.
+  [[nodiscard]] bool is_everything_received();
   // Disconnects. The owner is not called after this.
   void close();
 
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -148,8 +148,8 @@
   owner_.on_peers_changed();
 }
 
-bool HotRestartPeer::is_all_sent() const {
-  return successor_.channel == nullptr || successor_.channel->is_all_sent();
+bool HotRestartPeer::has_successor_received_everything() const {
+  return successor_.channel == nullptr || successor_.channel->is_everything_received();
 }
 
 void HotRestartPeer::broadcast(const Json& message) {
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -84,9 +84,9 @@
   [[nodiscard]] bool is_successor_serving() const {
     return successor_.channel != nullptr && is_successor_serving_;
   }
-  // Returns whether the kernel has accepted everything that was sent to the successor. A process must not end
-  // before this, or the rest of its hand-over is lost.
-  [[nodiscard]] bool is_all_sent() const;
+  // Returns whether the successor has received everything that was sent to it, or has ended. This process
+  // must not end before, as a successor of an earlier release may then drop what still waits for it.
+  [[nodiscard]] bool has_successor_received_everything() const;
 
   // Notifies the other processes that an operator drained an endpoint or returned it to service.
   void notify_administrative_state(const routing::EndpointId& endpoint, routing::AdministrativeState state);
--- a/src/hot_restart/packet_socket.cpp
+++ b/src/hot_restart/packet_socket.cpp
@@ -1,5 +1,7 @@
 #include "hot_restart/packet_socket.hpp"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/un.h>
 #include <unistd.h>
@@ -133,6 +135,12 @@
   return {ReceiveStatus::kReceived, static_cast<std::size_t>(size), extract_descriptors(header)};
 }
 
+// The kernel counts the packets that wait at the other side as the sender's (SIOCOUTQ).
+bool is_everything_received(int socket) {
+  int waiting_bytes = 0;
+  return ::ioctl(socket, SIOCOUTQ, &waiting_bytes) != 0 || waiting_bytes == 0;
+}
+
 void shut_down_packet_socket(int socket) { ::shutdown(socket, SHUT_RDWR); }
 
 }  // namespace dispatcher::hot_restart
--- a/src/hot_restart/packet_socket.hpp
+++ b/src/hot_restart/packet_socket.hpp
@@ -61,6 +61,8 @@
 [[nodiscard]] SendStatus send_packet(int socket, std::string_view text, const Descriptors& descriptors);
 // Receives one packet into `buffer`, which is resized to kMaxPacketBytes.
 [[nodiscard]] ReceivedPacket receive_packet(int socket, std::vector<char>& buffer);
+// Returns whether the other side has received every packet that was sent to it, or has closed.
+[[nodiscard]] bool is_everything_received(int socket);
 // Ends the connection in both directions. What the other side sends from now on fails there, so that nothing
 // is added to the packets that wait here, which can still be received. kClosed follows the last of them.
 void shut_down_packet_socket(int socket);
