Hot restart: a stream is given up only after its message was accepted

Callers would see: their stream ends in the middle where, in the moment of its hand-over, the successor ends, has its queue full, or the old process has no descriptor left for the copies of the two sockets.

Cause: the old process closed its descriptors first and queued the message; the result of sending it was ignored. Without a free descriptor the message had -1 attached, which broke the whole channel (EBADF).

Change: the message is sent first, at once or not at all, with the sockets themselves in place of copies. The stream is detached once the kernel has accepted it; otherwise it resumes, and is tried again in a later pass. Copies are made only for a message that has to be queued.

Tests: a message that must be sent immediately is refused while the other process is behind, and once it has ended.

--- a/src/daemon/stream_handover.cpp
+++ b/src/daemon/stream_handover.cpp
@@ -32,28 +32,45 @@
   const bool is_client_suspended = server.suspend_reading(stream.client);
   const bool is_endpoint_suspended = components_.replica_client.suspend_stream(attempt);
   if (is_client_suspended && is_endpoint_suspended) {
-    const upstream::DetachedStream state = components_.replica_client.detach_stream(attempt);
-    const net::UniqueFd client_socket = server.detach(stream.client);
-    components_.platform_frontend.forget_detached_stream(stream.client);
-    components_.hot_restart_peer.transfer_stream(
-        {stream.id, state.endpoint, state.unread, state.position.chunk_left, state.position.keep_alive},
-        client_socket.get(), state.socket.get());
-    components_.engine.release_stream(stream.request);
+    if (transfer(stream)) return;
+    resume(stream);
   } else if (passes_ % kPassesPerResume == kPassesPerResume - 1) {
-    server.resume_reading(stream.client);
-    components_.replica_client.resume_stream(attempt);
+    resume(stream);
   }
 }
 
+// Gives the stream up only after its message was accepted, since the successor may have ended or may be held
+// up.
+bool StreamHandover::transfer(const engine::RunningStream& stream) {
+  http::Server& server = components_.platform_frontend.server();
+  const engine::AttemptId attempt{stream.request, stream.attempt};
+  const upstream::SuspendedStream suspended = components_.replica_client.suspended_stream(attempt);
+  const upstream::StreamState& state = suspended.state;
+  const bool is_transferred = components_.hot_restart_peer.transfer_stream(
+      {stream.id, state.endpoint, state.unread, state.position.chunk_left, state.position.keep_alive},
+      server.client_socket(stream.client), suspended.socket);
+  if (!is_transferred) return false;
+  components_.replica_client.detach_stream(attempt);
+  server.detach(stream.client);
+  components_.platform_frontend.forget_detached_stream(stream.client);
+  components_.engine.release_stream(stream.request);
+  return true;
+}
+
+void StreamHandover::resume(const engine::RunningStream& stream) {
+  components_.platform_frontend.server().resume_reading(stream.client);
+  components_.replica_client.resume_stream({stream.request, stream.attempt});
+}
+
 void StreamHandover::adopt(const hot_restart::StreamTransfer& transfer, net::UniqueFd client,
                            net::UniqueFd endpoint) {
   try {
-    upstream::DetachedStream state{
-        std::move(endpoint), transfer.endpoint, transfer.unread, {transfer.chunk_left, transfer.keep_alive}};
+    const upstream::StreamState state{
+        transfer.endpoint, transfer.unread, {transfer.chunk_left, transfer.keep_alive}};
     components_.engine.on_peer_request_progress(transfer.request_id, engine::RequestProgress::kCompleted);
     const net::SlotId request =
         components_.platform_frontend.adopt_stream(std::move(client), transfer.request_id, state.endpoint);
-    components_.replica_client.adopt_stream({request, 0}, std::move(state));
+    components_.replica_client.adopt_stream({request, 0}, std::move(endpoint), state);
   } catch (const std::exception& error) {
     components_.log(std::string("upgrade: can't continue a stream: ") + error.what());
   }
--- a/src/daemon/stream_handover.hpp
+++ b/src/daemon/stream_handover.hpp
@@ -14,8 +14,9 @@
   explicit StreamHandover(Components& components) : components_(components) {}
 
   // Makes one pass over the streams of the platform's clients. Hands each stream that is between two events
-  // to the successor, with both sockets and the unread rest of the current chunk. Must be called until no
-  // stream is left; does nothing if no successor serves.
+  // to the successor, with both sockets and the unread rest of the current chunk. A stream that the successor
+  // can't receive now continues here. Must be called until no stream is left; does nothing if no successor
+  // serves.
   void hand_over();
   // Continues a stream of the predecessor. If that fails, the error is logged and the client's connection is
   // closed.
@@ -23,6 +24,8 @@
 
  private:
   void hand_over(const engine::RunningStream& stream);
+  [[nodiscard]] bool transfer(const engine::RunningStream& stream);
+  void resume(const engine::RunningStream& stream);
 
   Components& components_;
   int passes_ = 0;  // passes over the streams so far
--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -16,6 +16,16 @@
 // unread; the limit bounds memory.
 constexpr std::size_t kMaxQueuedMessages = 10000;
 
+std::string to_packet(const Json& message) {
+  return message.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::vector<int> numbers_of(const Descriptors& descriptors) {
+  std::vector<int> numbers;
+  for (const net::UniqueFd& descriptor : descriptors) numbers.push_back(descriptor.get());
+  return numbers;
+}
+
 }  // namespace
 
 std::string_view to_text(ChannelEnd end) {
@@ -48,21 +58,17 @@
 
 bool HandoverChannel::send(const Json& message, const std::vector<int>& descriptors) {
   if (end_) return true;
-  OutgoingMessage outgoing{message.dump(-1, ' ', false, Json::error_handler_t::replace), {}};
-  if (outgoing.text.size() > kMaxPacketBytes || descriptors.size() > kMaxPacketDescriptors) return false;
-  for (const int fd : descriptors) outgoing.descriptors.emplace_back(::fcntl(fd, F_DUPFD_CLOEXEC, 0));
-  if (outgoing_.empty()) {
-    const SendStatus status = send_now(outgoing);
-    if (status == SendStatus::kBroken) disconnect(ChannelEnd::kSendFailed);
-    if (status != SendStatus::kWouldBlock) return status != SendStatus::kTooLong;
-  }
-  outgoing_.push_back(std::move(outgoing));
-  if (outgoing_.size() > kMaxQueuedMessages) {
-    disconnect(ChannelEnd::kQueueFull);
-  } else {
-    wait_until_writable();
-  }
-  return true;
+  std::string text = to_packet(message);
+  if (text.size() > kMaxPacketBytes || descriptors.size() > kMaxPacketDescriptors) return false;
+  if (!outgoing_.empty()) return enqueue(std::move(text), descriptors);
+  const SendStatus status = send_now(text, descriptors);
+  if (status == SendStatus::kWouldBlock) return enqueue(std::move(text), descriptors);
+  return status != SendStatus::kTooLong;
+}
+
+bool HandoverChannel::send_immediately(const Json& message, const std::vector<int>& descriptors) {
+  if (end_ || !outgoing_.empty()) return false;
+  return send_now(to_packet(message), descriptors) == SendStatus::kSent;
 }
 
 bool HandoverChannel::is_everything_received() {
@@ -70,8 +76,25 @@
   return outgoing_.empty() && hot_restart::is_everything_received(socket_.native_handle());
 }
 
-SendStatus HandoverChannel::send_now(const OutgoingMessage& message) {
-  return send_packet(socket_.native_handle(), message.text, message.descriptors);
+SendStatus HandoverChannel::send_now(const std::string& text, std::span<const int> descriptors) {
+  const SendStatus status = send_packet(socket_.native_handle(), text, descriptors);
+  if (status == SendStatus::kBroken) disconnect(ChannelEnd::kSendFailed);
+  return status;
+}
+
+bool HandoverChannel::enqueue(std::string text, std::span<const int> descriptors) {
+  OutgoingMessage message{std::move(text), {}};
+  for (const int descriptor : descriptors) {
+    message.descriptors.emplace_back(::fcntl(descriptor, F_DUPFD_CLOEXEC, 0));
+    if (!message.descriptors.back()) return false;
+  }
+  outgoing_.push_back(std::move(message));
+  if (outgoing_.size() > kMaxQueuedMessages) {
+    disconnect(ChannelEnd::kQueueFull);
+  } else {
+    wait_until_writable();
+  }
+  return true;
 }
 
 void HandoverChannel::wait_until_writable() {
@@ -86,9 +109,10 @@
 
 void HandoverChannel::send_queued() {
   while (!outgoing_.empty()) {
-    const SendStatus status = send_now(outgoing_.front());
+    const OutgoingMessage& message = outgoing_.front();
+    const SendStatus status = send_now(message.text, numbers_of(message.descriptors));
     if (status == SendStatus::kWouldBlock) return wait_until_writable();
-    if (status == SendStatus::kBroken) return disconnect(ChannelEnd::kSendFailed);
+    if (status == SendStatus::kBroken) return;  // the queue has been cleared
     outgoing_.pop_front();
   }
 }
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,8 +58,12 @@
   void start() { wait_for_packet(); }
   // Sends the message, now or once the other side has read earlier ones. The caller keeps the descriptors,
   // and the other side gets copies. Closes the channel if too many messages are queued. Returns false and
-  // doesn't send the message if it is too long for a packet.
+  // doesn't send the message if it is too long for a packet, or if its descriptors can't be kept until it is
+  // sent.
   bool send(const Json& message, const std::vector<int>& descriptors = {});
+  // Sends the message now or not at all. Returns whether the kernel has accepted it: it then reaches the
+  // other side even if this process ends.
+  [[nodiscard]] bool send_immediately(const Json& message, const std::vector<int>& descriptors);
   // Returns whether the other side has received every message, or can't receive any more.
   [[nodiscard]] bool is_everything_received();
   // Disconnects. The owner is not called after this.
@@ -67,9 +72,10 @@
  private:
   struct OutgoingMessage {
     std::string text;
-    Descriptors descriptors;
+    Descriptors descriptors;  // copies, as the caller may close its own before the message is sent
   };
-  [[nodiscard]] SendStatus send_now(const OutgoingMessage& message);
+  [[nodiscard]] SendStatus send_now(const std::string& text, std::span<const int> descriptors);
+  [[nodiscard]] bool enqueue(std::string text, std::span<const int> descriptors);
   void wait_until_writable();
   void send_queued();
   void wait_for_packet();
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -167,9 +167,11 @@
   if (successor_.channel != nullptr) successor_.channel->send(encode(VrrpLeft{role}));
 }
 
-void HotRestartPeer::transfer_stream(const StreamTransfer& stream, int client, int upstream) {
+bool HotRestartPeer::transfer_stream(const StreamTransfer& stream, int client, int upstream) {
+  if (!is_successor_serving()) return false;
+  if (!successor_.channel->send_immediately(encode(stream), {client, upstream})) return false;
   ++transferred_streams_;
-  successor_.channel->send(encode(stream), {client, upstream});
+  return true;
 }
 
 void HotRestartPeer::on_request_progress(const routing::RequestId& id, engine::RequestProgress progress) {
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -92,9 +92,10 @@
   void notify_administrative_state(const routing::EndpointId& endpoint, routing::AdministrativeState state);
   // Notifies the successor that this process has left the VRRP group, so that the successor may join it.
   void notify_vrrp_left(VrrpRole role);
-  // Hands a stream over to the successor, which must be serving. The caller keeps the sockets, and copies are
-  // sent.
-  void transfer_stream(const StreamTransfer& stream, int client, int upstream);
+  // Hands a stream over to the successor. Returns whether the successor gets it. If not, the stream stays
+  // with this process: the successor has ended, or can't receive it now. The caller keeps the sockets, and
+  // copies are sent.
+  [[nodiscard]] bool transfer_stream(const StreamTransfer& stream, int client, int upstream);
   // Returns the number of streams that were handed over to successors, for the log.
   [[nodiscard]] std::size_t transferred_streams() const { return transferred_streams_; }
   // engine::HotRestartObserver
--- a/src/hot_restart/packet_socket.cpp
+++ b/src/hot_restart/packet_socket.cpp
@@ -46,18 +46,15 @@
   return reinterpret_cast<const sockaddr*>(&address);
 }
 
-void attach_descriptors(msghdr& header, AncillaryData& ancillary, const Descriptors& descriptors) {
-  const std::size_t bytes = sizeof(int) * descriptors.size();
+void attach_descriptors(msghdr& header, AncillaryData& ancillary, std::span<const int> descriptors) {
+  const std::size_t bytes = descriptors.size_bytes();
   header.msg_control = ancillary.bytes.data();
   header.msg_controllen = CMSG_SPACE(bytes);
   cmsghdr* control = CMSG_FIRSTHDR(&header);
   control->cmsg_level = SOL_SOCKET;
   control->cmsg_type = SCM_RIGHTS;
   control->cmsg_len = CMSG_LEN(bytes);
-  for (std::size_t i = 0; i < descriptors.size(); ++i) {
-    const int fd = descriptors[i].get();
-    std::memcpy(CMSG_DATA(control) + i * sizeof(int), &fd, sizeof(int));
-  }
+  std::memcpy(CMSG_DATA(control), descriptors.data(), bytes);
 }
 
 Descriptors extract_descriptors(msghdr& header) {
@@ -107,7 +104,7 @@
   return socket;
 }
 
-SendStatus send_packet(int socket, std::string_view text, const Descriptors& descriptors) {
+SendStatus send_packet(int socket, std::string_view text, std::span<const int> descriptors) {
   iovec text_part{const_cast<char*>(text.data()), text.size()};
   msghdr header{};
   header.msg_iov = &text_part;
--- a/src/hot_restart/packet_socket.hpp
+++ b/src/hot_restart/packet_socket.hpp
@@ -5,6 +5,7 @@
 #define DISPATCHER_HOT_RESTART_PACKET_SOCKET_HPP_
 
 #include <cstddef>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -56,9 +57,9 @@
 // Accepts one connection on a listening socket.
 [[nodiscard]] net::UniqueFd accept_packet_socket(int listener);
 
-// Sends one packet. The other side gets copies of the descriptors, of which there may be at most
-// kMaxPacketDescriptors.
-[[nodiscard]] SendStatus send_packet(int socket, std::string_view text, const Descriptors& descriptors);
+// Sends one packet. The caller keeps the descriptors, of which there may be at most kMaxPacketDescriptors,
+// and the other side gets copies.
+[[nodiscard]] SendStatus send_packet(int socket, std::string_view text, std::span<const int> descriptors);
 // Receives one packet into `buffer`, which is resized to kMaxPacketBytes.
 [[nodiscard]] ReceivedPacket receive_packet(int socket, std::vector<char>& buffer);
 // Returns whether the other side has received every packet that was sent to it, or has closed.
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -317,11 +317,9 @@
   if (client != nullptr && std::exchange(client->is_reading_suspended, false)) client->connection->read();
 }
 
-net::UniqueFd Server::detach(SlotId id) {
-  net::UniqueFd socket = clients_.find(id)->connection->duplicate_socket();
-  acceptor_.remove(id, CloseReason::kHandedOver);
-  return socket;
-}
+int Server::client_socket(SlotId id) { return clients_.find(id)->connection->native_handle(); }
+
+void Server::detach(SlotId id) { acceptor_.remove(id, CloseReason::kHandedOver); }
 
 SlotId Server::adopt_stream(net::UniqueFd socket) {
   const SlotId id = create_client(net::adopt_socket(io_, std::move(socket)));
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -117,14 +117,15 @@
   // ---- migration of a stream to another process ----
 
   /// Cancels reading from a streaming client. Returns true once all output is written and no bytes are in
-  /// transit inside this process, so that detach() may be called. Until then the caller repeats the call, or
-  /// gives up and calls resume_reading().
+  /// transit inside this process, so that another process may continue. Until then the caller repeats the
+  /// call, or gives up and calls resume_reading().
   [[nodiscard]] bool suspend_reading(SlotId client);
   /// Resumes reading from the client. Does nothing if reading was not suspended.
   void resume_reading(SlotId client);
-  /// Closes this process's descriptor of the connection, removes the client and returns a duplicate of its
-  /// socket.
-  [[nodiscard]] net::UniqueFd detach(SlotId client);
+  /// Returns the socket of a suspended client, which the server still owns, for a copy to the other process.
+  [[nodiscard]] int client_socket(SlotId client);
+  /// Removes a client whose socket the other process has, and closes this process's descriptor of it.
+  void detach(SlotId client);
   /// Adds a client whose chunked stream began in another process and continues here. Throws
   /// boost::system::system_error if the descriptor is not a socket.
   SlotId adopt_stream(net::UniqueFd socket);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -1,7 +1,6 @@
 // Asynchronous reading and writing of one TCP connection.
 #include "net/connection.hpp"
 
-#include <fcntl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/post.hpp>
@@ -88,10 +87,6 @@
   return is_open_ && !is_read_pending_ && !is_write_pending_ && !is_finishing_ && output_.empty();
 }
 
-UniqueFd Connection::duplicate_socket() {
-  return UniqueFd(::fcntl(socket_.native_handle(), F_DUPFD_CLOEXEC, 0));
-}
-
 // ---- writing ----
 
 bool Connection::write(std::string_view bytes) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -68,9 +68,9 @@
   [[nodiscard]] bool is_quiescent() const;
   /// Appends bytes that another process has read from the socket to input(), as if they had just arrived.
   void append_input(std::string_view bytes) { input_.append(bytes); }
-  /// Returns a duplicate descriptor of the socket. The TCP connection stays open until all duplicates are
-  /// closed.
-  [[nodiscard]] UniqueFd duplicate_socket();
+  /// Returns the connection's socket, which the connection still owns. The TCP connection stays open until
+  /// all copies of the descriptor are closed, also those of other processes.
+  [[nodiscard]] int native_handle() { return socket_.native_handle(); }
 
   /// Queues bytes for sending. Returns false, and queues nothing, if they exceed the output limit or the
   /// connection is closed or finishing.
--- a/src/upstream/replica_client.cpp
+++ b/src/upstream/replica_client.cpp
@@ -37,8 +37,8 @@
   pool_.apply_options(options);
 }
 
-void ReplicaClient::adopt_stream(AttemptId attempt, DetachedStream stream) {
-  handover_.adopt_stream(attempt, std::move(stream));
+void ReplicaClient::adopt_stream(AttemptId attempt, net::UniqueFd socket, const StreamState& state) {
+  handover_.adopt_stream(attempt, std::move(socket), state);
 }
 
 void ReplicaClient::start_attempt(AttemptId attempt, const EndpointId& endpoint,
--- a/src/upstream/replica_client.hpp
+++ b/src/upstream/replica_client.hpp
@@ -43,8 +43,11 @@
   // See StreamHandover.
   [[nodiscard]] bool suspend_stream(AttemptId attempt) { return handover_.suspend_stream(attempt); }
   void resume_stream(AttemptId attempt) { handover_.resume_stream(attempt); }
-  [[nodiscard]] DetachedStream detach_stream(AttemptId attempt) { return handover_.detach_stream(attempt); }
-  void adopt_stream(AttemptId attempt, DetachedStream stream);
+  [[nodiscard]] SuspendedStream suspended_stream(AttemptId attempt) const {
+    return handover_.suspended_stream(attempt);
+  }
+  void detach_stream(AttemptId attempt) { handover_.detach_stream(attempt); }
+  void adopt_stream(AttemptId attempt, net::UniqueFd socket, const StreamState& state);
 
   // Closes the connection that has been idle for longest, for use when file descriptors run short. Returns
   // false if none is idle.
--- a/src/upstream/stream_handover.cpp
+++ b/src/upstream/stream_handover.cpp
@@ -33,22 +33,23 @@
   connection->transport->read();
 }
 
-DetachedStream StreamHandover::detach_stream(AttemptId attempt) {
-  PooledConnection& connection = *attempts_.connection_of(attempt);
+SuspendedStream StreamHandover::suspended_stream(AttemptId attempt) const {
+  const PooledConnection& connection = *attempts_.connection_of(attempt);
   const http::ResponseReader& reader = connection.exchange.reader;
-  DetachedStream stream;
-  stream.endpoint = connection.endpoint;
-  stream.unread = connection.transport->input().text();
-  stream.position = {reader.chunk_bytes_left(), reader.keep_alive()};
-  stream.socket = connection.transport->duplicate_socket();
+  return {connection.transport->native_handle(),
+          {connection.endpoint,
+           std::string(connection.transport->input().text()),
+           {reader.chunk_bytes_left(), reader.keep_alive()}}};
+}
+
+void StreamHandover::detach_stream(AttemptId attempt) {
   pool_.close(attempts_.remove(attempt), CloseReason::kHandedOver);
-  return stream;
 }
 
-void StreamHandover::adopt_stream(AttemptId attempt, DetachedStream stream) {
-  const SlotId id = pool_.adopt(stream.endpoint, std::move(stream.socket));
+void StreamHandover::adopt_stream(AttemptId attempt, net::UniqueFd socket, const StreamState& state) {
+  const SlotId id = pool_.adopt(state.endpoint, std::move(socket));
   attempts_.add(attempt, id);
-  exchanges_.resume_response(id, attempts_, attempt, stream.position, stream.unread);
+  exchanges_.resume_response(id, attempts_, attempt, state.position, state.unread);
 }
 
 }  // namespace dispatcher::upstream
--- a/tests/hot_restart/handover_channel_test.cpp
+++ b/tests/hot_restart/handover_channel_test.cpp
@@ -101,5 +101,38 @@
   fixture.expect_three_before_the_end(ChannelEnd::kQueueFull);
 }
 
+// Guards against streams that are given up although the other process can't receive them now.
+TEST_CASE("a message that must be sent immediately is refused while the other process is behind",
+          "[upgrade]") {
+  constexpr int kMoreThanThePacketsThatFit = 5000;
+  ChannelFixture fixture;
+  for (int i = 0; i < kMoreThanThePacketsThatFit; ++i) fixture.channel->send({{"number", i}});
+  CHECK_FALSE(fixture.channel->send_immediately({{"number", -1}}, {STDIN_FILENO, STDOUT_FILENO}));
+  CHECK_FALSE(fixture.channel->is_everything_received());
+  for (int i = 0; i < kMoreThanThePacketsThatFit; ++i) {
+    std::optional<Packet> packet;
+    REQUIRE(fixture.loop.until([&] {
+      packet = fixture.other->receive();
+      return packet.has_value();
+    }));
+    CHECK(packet->text == R"({"number":)" + std::to_string(i) + "}");
+  }
+  CHECK(fixture.channel->is_everything_received());
+  CHECK(fixture.channel->send_immediately({{"number", -1}}, {STDIN_FILENO, STDOUT_FILENO}));
+  const std::optional<Packet> packet = fixture.other->receive();
+  REQUIRE(packet);
+  CHECK(packet->descriptors == 2);
+}
+
+TEST_CASE("a message that must be sent immediately is refused once the other process has ended",
+          "[upgrade]") {
+  ChannelFixture fixture;
+  fixture.other.reset();
+  for (int twice = 0; twice < 2; ++twice)
+    CHECK_FALSE(fixture.channel->send_immediately({{"number", 1}}, {STDIN_FILENO, STDOUT_FILENO}));
+  REQUIRE(fixture.loop.until([&] { return fixture.owner.end.has_value(); }));
+  CHECK(fixture.owner.end == ChannelEnd::kSendFailed);
+}
+
 }  // namespace
 }  // namespace dispatcher::testing
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -162,7 +162,7 @@
   fixture.expect(successor, kVrrpActive);
   fixture.peer->notify_vrrp_left(hot_restart::VrrpRole::kBackup);
   fixture.expect(successor, kVrrpBackup);
-  fixture.peer->transfer_stream({"a1", "w1", "da\n\xff", 17, true}, 0, 1);
+  CHECK(fixture.peer->transfer_stream({"a1", "w1", "da\n\xff", 17, true}, 0, 1));
   fixture.expect(successor, kStream, 2);
 }
 
--- a/tests/hot_restart/hot_restart_stream_test.cpp
+++ b/tests/hot_restart/hot_restart_stream_test.cpp
@@ -1,4 +1,6 @@
 // Tests streams during a hot restart: one process continues a response where the other stopped reading it.
+#include <fcntl.h>
+
 #include <algorithm>
 #include <random>
 
@@ -70,18 +72,25 @@
   replica.stream_words(client, {"one"}, StreamEnd::kOpen);
 }
 
+net::UniqueFd duplicate(int socket) { return net::UniqueFd(::fcntl(socket, F_DUPFD_CLOEXEC, 0)); }
+
 // Hands the suspended stream "a1" over to the same fixture, as to another process: its sockets and the rest
 // of its current chunk.
 void hand_over(Fixture& fixture, const engine::RunningStream& stream) {
-  upstream::DetachedStream replica = fixture.pool.detach_stream({stream.request, stream.attempt});
-  net::UniqueFd socket = fixture.platform.server().detach(stream.client);
+  const engine::AttemptId attempt{stream.request, stream.attempt};
+  const upstream::SuspendedStream replica = fixture.pool.suspended_stream(attempt);
+  net::UniqueFd replica_socket = duplicate(replica.socket);
+  net::UniqueFd client_socket = duplicate(fixture.platform.server().client_socket(stream.client));
+  fixture.pool.detach_stream(attempt);
+  fixture.platform.server().detach(stream.client);
   fixture.platform.forget_detached_stream(stream.client);
   fixture.engine.release_stream(stream.request);
   CHECK(fixture.engine.open_request_count() == 0);
   CHECK(fixture.platform.server().client_count() == 0);
   CHECK(fixture.pool.open_connections() == 1);  // the reader's, idle
-  const SlotId request = fixture.platform.adopt_stream(std::move(socket), "a1", replica.endpoint);
-  fixture.pool.adopt_stream({request, 0}, std::move(replica));
+  const SlotId request =
+      fixture.platform.adopt_stream(std::move(client_socket), "a1", replica.state.endpoint);
+  fixture.pool.adopt_stream({request, 0}, std::move(replica_socket), replica.state);
 }
 
 TEST_CASE("a running stream is handed over without any effect on its client or its endpoint", "[upgrade]") {
