Hot restart: a suspended stream resumes where its successor has ended

Callers would see: no further event of their stream, until its time-out, where the successor ends within the 20 ms between the end of reading the stream and its hand-over.

Cause: StreamHandover::hand_over() returned at once where no successor serves, and nothing else resumes the streams that an earlier pass has suspended.

Change: such a pass resumes all streams.

--- a/src/daemon/stream_handover.cpp
+++ b/src/daemon/stream_handover.cpp
@@ -17,10 +17,15 @@
 }  // namespace
 
 void StreamHandover::hand_over() {
-  if (!components_.hot_restart_peer.is_successor_serving()) return;
+  const bool is_successor_serving = components_.hot_restart_peer.is_successor_serving();
   for (const engine::RunningStream& stream :
-       components_.engine.running_streams(components_.platform_frontend.response_sink()))
-    hand_over(stream);
+       components_.engine.running_streams(components_.platform_frontend.response_sink())) {
+    if (is_successor_serving) {
+      hand_over(stream);
+    } else {
+      resume(stream);  // its successor may have ended after the last pass
+    }
+  }
   ++passes_;
 }
 
--- a/src/daemon/stream_handover.hpp
+++ b/src/daemon/stream_handover.hpp
@@ -15,8 +15,8 @@
 
   // Makes one pass over the streams of the platform's clients. Hands each stream that is between two events
   // to the successor, with both sockets and the unread rest of the current chunk. A stream that the successor
-  // can't receive now continues here. Must be called until no stream is left; does nothing if no successor
-  // serves.
+  // can't receive now continues here, as all do if no successor serves. Must be called until no stream is
+  // left.
   void hand_over();
   // Continues a stream of the predecessor. If that fails, the error is logged and the client's connection is
   // closed.
--- a/tests/hot_restart/slow_successor_test.cpp
+++ b/tests/hot_restart/slow_successor_test.cpp
@@ -69,5 +69,27 @@
   CHECK(has_entry(fixture.logs, "upgrade: 1 streams handed over"));
 }
 
+// Guards against streams that the old process gives up in the moment in which its successor ends: one of
+// these steps is the one in which it sends the stream to a closed connection.
+TEST_CASE("a stream continues at the draining process if its successor ends before it is sent", "[upgrade]") {
+  constexpr int kMaxSteps = 100;
+  bool is_sent = false;
+  int steps = 0;
+  for (; steps < kMaxSteps && !is_sent; ++steps) {
+    SlowSuccessorFixture fixture;
+    fixture.dispatcher->drain();
+    for (int i = 0; i < steps; ++i) fixture.step();
+    while (const auto packet = fixture.successor->receive()) is_sent = is_sent || packet->descriptors > 0;
+    if (is_sent) break;  // it belongs to the successor
+    fixture.successor.reset();
+    INFO("steps before the successor's end: " << steps);
+    CHECK(fixture.finishes_stream());
+    CHECK(fixture.ends_drained());
+    CHECK(has_entry(fixture.logs, "upgrade: the successor has ended"));
+  }
+  CHECK(is_sent);
+  CHECK(steps > 1);
+}
+
 }  // namespace
 }  // namespace dispatcher::testing
