Hot restart: a stream's message stays in the socket until there are descriptors for it

Callers would see: their stream ends in the middle where the successor has no descriptors left, for instance as it takes over more streams than half of its limit.

Cause: the kernel drops descriptors that the receiver may not open (MSG_CTRUNC). The message arrived without its sockets, and was ignored without a log line.

Change: before each packet the channel looks whether two descriptors can be opened.

The test takes all descriptors of its process: before, the three messages arrived without sockets. It runs with and without one that can be spared.

--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -3,6 +3,7 @@
 #include <fcntl.h>
 
 #include <boost/asio/post.hpp>
+#include <chrono>
 #include <cstddef>
 #include <utility>
 
@@ -15,6 +16,8 @@
 // The most messages that are queued for a process that doesn't read. A working process leaves far fewer
 // unread; the limit bounds memory.
 constexpr std::size_t kMaxQueuedMessages = 10000;
+// Time until the next try where this process lacks descriptors.
+constexpr std::chrono::milliseconds kRetryInterval{10};
 
 std::string to_packet(const Json& message) {
   return message.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -45,7 +48,7 @@
 }
 
 HandoverChannel::HandoverChannel(asio::io_context& io, net::UniqueFd socket, Owner& owner)
-    : socket_(io, socket.release()), owner_(&owner) {}
+    : socket_(io, socket.release()), retry_timer_(io), owner_(&owner) {}
 
 std::shared_ptr<HandoverChannel> HandoverChannel::connect(asio::io_context& io, const std::string& path,
                                                           Owner& owner) {
@@ -125,11 +128,27 @@
 }
 
 void HandoverChannel::receive_all() {
-  while (owner_ != nullptr && receive_one()) {
+  while (owner_ != nullptr) {
+    if (!make_room_for_descriptors()) return retry_receiving();
+    if (!receive_one()) break;
   }
   if (owner_ != nullptr) wait_for_packet();
 }
 
+bool HandoverChannel::make_room_for_descriptors() {
+  while (!has_room_for_descriptors(socket_.native_handle())) {
+    if (!owner_->reclaim_descriptor()) return false;
+  }
+  return true;
+}
+
+void HandoverChannel::retry_receiving() {
+  retry_timer_.expires_after(kRetryInterval);
+  retry_timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
+    if (!error) self->receive_all();
+  });
+}
+
 bool HandoverChannel::receive_one() {
   ReceivedPacket packet = receive_packet(socket_.native_handle(), receive_buffer_);
   if (packet.status == ReceiveStatus::kWouldBlock) return false;
@@ -166,6 +185,7 @@
 
 void HandoverChannel::close() {
   owner_ = nullptr;
+  retry_timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/posix/stream_descriptor.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <functional>
 #include <memory>
@@ -46,6 +47,9 @@
     virtual ~Owner() = default;
     // Called for each message, with the descriptors that were attached to it.
     virtual void on_message(const Json& message, Descriptors descriptors) = 0;
+    // Called when there are no descriptors for the sockets of the next message, which is then received later.
+    // Closes a descriptor that this process can spare. Returns false if there is none.
+    virtual bool reclaim_descriptor() = 0;
     // Called when the other side has closed the connection or has stopped reading. Called once, after all
     // other calls.
     virtual void on_channel_closed(ChannelEnd end) = 0;
@@ -80,11 +84,14 @@
   void send_queued();
   void wait_for_packet();
   void receive_all();
+  [[nodiscard]] bool make_room_for_descriptors();
+  void retry_receiving();
   [[nodiscard]] bool receive_one();  // returns false if no packet is available
   void disconnect(ChannelEnd end);
   void report_end();
 
   boost::asio::posix::stream_descriptor socket_;
+  boost::asio::steady_timer retry_timer_;
   Owner* owner_;  // null once closed
   std::deque<OutgoingMessage> outgoing_;
   std::vector<char> receive_buffer_;  // allocated once, since it is large
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -62,6 +62,9 @@
     // endpoint.
     virtual void on_stream(const StreamTransfer& stream, net::UniqueFd client_socket,
                            net::UniqueFd upstream_socket) = 0;
+    // Called when there are no descriptors for the sockets of a stream. Closes one that this process can
+    // spare. Returns false if there is none: the stream is then received later.
+    virtual bool reclaim_descriptor() = 0;
     // Called when the predecessor has left the VRRP group, in which it had this role.
     virtual void on_vrrp_left(VrrpRole role) = 0;
     // Called when a predecessor or successor has connected, begun to serve or disconnected.
@@ -109,6 +112,7 @@
     void on_message(const Json& message, Descriptors descriptors) override {
       peer.on_message(role, message, std::move(descriptors));
     }
+    bool reclaim_descriptor() override { return peer.owner_.reclaim_descriptor(); }
     void on_channel_closed(ChannelEnd end) override { peer.on_channel_closed(*this, end); }
     HotRestartPeer& peer;
     PeerRole role;                             // the role of the other process
--- a/src/hot_restart/packet_socket.cpp
+++ b/src/hot_restart/packet_socket.cpp
@@ -1,5 +1,6 @@
 #include "hot_restart/packet_socket.hpp"
 
+#include <fcntl.h>
 #include <linux/sockios.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -116,6 +117,15 @@
   return errno == EMSGSIZE ? SendStatus::kTooLong : SendStatus::kBroken;
 }
 
+bool has_room_for_descriptors(int socket) {
+  std::array<net::UniqueFd, kSentDescriptors> probes;
+  for (net::UniqueFd& probe : probes) {
+    probe.reset(::fcntl(socket, F_DUPFD_CLOEXEC, 0));
+    if (!probe) return false;
+  }
+  return true;
+}
+
 ReceivedPacket receive_packet(int socket, std::vector<char>& buffer) {
   buffer.resize(kMaxPacketBytes);
   iovec buffer_part{buffer.data(), buffer.size()};
--- a/src/hot_restart/packet_socket.hpp
+++ b/src/hot_restart/packet_socket.hpp
@@ -18,6 +18,7 @@
 
 // Limits of one packet. At most two descriptors are sent today: those of the listening sockets, or of a
 // stream. send_packet() returns kTooLong for a message that is longer than the kernel accepts.
+constexpr std::size_t kSentDescriptors = 2;
 constexpr std::size_t kMaxPacketDescriptors = 8;
 constexpr std::size_t kMaxPacketBytes = 512UL * 1024;
 
@@ -60,6 +61,9 @@
 // Sends one packet. The caller keeps the descriptors, of which there may be at most kMaxPacketDescriptors,
 // and the other side gets copies.
 [[nodiscard]] SendStatus send_packet(int socket, std::string_view text, std::span<const int> descriptors);
+// Returns whether this process may open as many descriptors as come with a packet. If it may not, the kernel
+// closes those that come with the next one.
+[[nodiscard]] bool has_room_for_descriptors(int socket);
 // Receives one packet into `buffer`, which is resized to kMaxPacketBytes.
 [[nodiscard]] ReceivedPacket receive_packet(int socket, std::vector<char>& buffer);
 // Returns whether the other side has received every packet that was sent to it, or has closed.
--- a/tests/hot_restart/handover_channel_test.cpp
+++ b/tests/hot_restart/handover_channel_test.cpp
@@ -2,6 +2,9 @@
 // lacks descriptors: no message that the kernel has accepted may be lost, nor the sockets that came with it.
 #include "hot_restart/handover_channel.hpp"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <functional>
 
 #include "raw_socket.hpp"
@@ -27,6 +30,7 @@
     received.push_back({message.at("number").get<int>(), descriptors.size()});
     if (after_message) after_message();
   }
+  bool reclaim_descriptor() override { return after_shortage && after_shortage(); }
   void on_channel_closed(ChannelEnd channel_end) override {
     CHECK_FALSE(end);
     end = channel_end;
@@ -34,6 +38,32 @@
   std::vector<Received> received;
   std::optional<ChannelEnd> end;
   std::function<void()> after_message;
+  std::function<bool()> after_shortage;
+};
+
+// Takes all descriptors that this process may open, under a low limit that the destructor lifts.
+class DescriptorShortage {
+ public:
+  DescriptorShortage() {
+    constexpr rlim_t kLowLimit = 64;
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &limit_) == 0);
+    const rlimit low{std::min(kLowLimit, limit_.rlim_cur), limit_.rlim_max};
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &low) == 0);
+    for (int taken = ::dup(STDIN_FILENO); taken >= 0; taken = ::dup(STDIN_FILENO)) taken_.emplace_back(taken);
+  }
+  ~DescriptorShortage() { ::setrlimit(RLIMIT_NOFILE, &limit_); }
+  DescriptorShortage(const DescriptorShortage&) = delete;
+  DescriptorShortage& operator=(const DescriptorShortage&) = delete;
+  // Closes one of the taken descriptors.
+  bool release_one() {
+    if (taken_.empty()) return false;
+    taken_.pop_back();
+    return true;
+  }
+
+ private:
+  rlimit limit_{};
+  std::vector<net::UniqueFd> taken_;
 };
 
 // A channel of this process whose other end is a raw socket.
@@ -54,6 +84,11 @@
     for (const char* text : {R"({"number":1})", R"({"number":2})", R"({"number":3})"})
       other->send(text, {STDIN_FILENO, STDOUT_FILENO});
   }
+  void receive_one_from_other() {
+    other->send(R"({"number":0})", {STDIN_FILENO, STDOUT_FILENO});
+    REQUIRE(loop.until([&] { return !owner.received.empty(); }));
+    owner.received.clear();
+  }
   void expect_three_before_the_end(ChannelEnd end) {
     REQUIRE(loop.until([&] { return owner.end.has_value(); }));
     CHECK(owner.end == end);
@@ -101,6 +136,26 @@
   fixture.expect_three_before_the_end(ChannelEnd::kQueueFull);
 }
 
+// Guards against streams whose sockets the kernel closes because the new process has no descriptors for them.
+TEST_CASE("a packet is received with its descriptors once there is room for them", "[upgrade]") {
+  const bool can_reclaim = GENERATE(true, false);
+  ChannelFixture fixture;
+  // The sanitizers' runtime needs descriptors where a function meets a type for the first time.
+  fixture.receive_one_from_other();
+  std::size_t received_during_shortage = 0;
+  {
+    DescriptorShortage shortage;
+    if (can_reclaim) fixture.owner.after_shortage = [&] { return shortage.release_one(); };
+    fixture.send_three_from_other();
+    fixture.loop.settle();
+    received_during_shortage = fixture.owner.received.size();
+    fixture.owner.after_shortage = nullptr;
+  }
+  CHECK(received_during_shortage == (can_reclaim ? 3 : 0));
+  fixture.other.reset();
+  fixture.expect_three_before_the_end(ChannelEnd::kClosed);
+}
+
 // Guards against streams that are given up although the other process can't receive them now.
 TEST_CASE("a message that must be sent immediately is refused while the other process is behind",
           "[upgrade]") {
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -89,6 +89,7 @@
     CHECK(stream.keep_alive);
     events.emplace_back("stream");
   }
+  bool reclaim_descriptor() override { return false; }
   void on_vrrp_left(hot_restart::VrrpRole role) override {
     events.emplace_back(role == hot_restart::VrrpRole::kActive ? "vrrp active" : "vrrp backup");
   }
--- a/tests/hot_restart/hot_restart_state_test.cpp
+++ b/tests/hot_restart/hot_restart_state_test.cpp
@@ -60,6 +60,7 @@
     for (auto& fd : received) descriptors.push_back(std::move(fd));
   }
   void on_channel_closed(hot_restart::ChannelEnd) override { has_ended = true; }
+  bool reclaim_descriptor() override { return false; }
   std::vector<Json> messages;
   hot_restart::Descriptors descriptors;
   bool has_ended = false;
