Hot restart: a process that ends waits for a predecessor that hands over its streams

Callers would see: their stream ends in the middle where a process is replaced again while its own predecessor still drains.

Cause: the process in the middle ended once it had no work of its own, and closed its channel to the predecessor with streams in it.

Change: it waits while a predecessor hands streams over, which ends by itself. It leaves any other predecessor by HandoverChannel::finish(): everything that was sent is received first, and what is sent later fails, so that its stream stays where it is.

--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -214,13 +214,14 @@
 }
 
 // Stops the loop once every accepted request is answered, every stream is received by the successor or
-// complete, and every reservation is released. Until then checks again after kDrainCheckInterval.
+// complete, every reservation is released, and the predecessor can't hand over any more streams. Until then
+// checks again after kDrainCheckInterval.
 void Dispatcher::finish_draining() {
   stream_handover_.hand_over();
   if (has_stopped_accepting_) {
     for (http::Server* server : components_.client_servers()) server->close_idle();
   }
-  if (is_work_left()) {
+  if (is_work_left() || !components_.hot_restart_peer.leave_predecessor()) {
     components_.loop.timers().add(components_.loop.now() + kDrainCheckInterval,
                                   [this] { finish_draining(); });
     return;
--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -41,6 +41,8 @@
       return "send failed";
     case ChannelEnd::kQueueFull:
       return "queue full";
+    case ChannelEnd::kFinished:
+      return "finished";
     case ChannelEnd::kBroken:
       return "broken";
   }
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -29,6 +29,7 @@
   kReset,       // the other side has closed it without reading everything that was sent to it
   kSendFailed,  // a message could not be sent, because the other side has closed it
   kQueueFull,   // the other side has stopped reading
+  kFinished,    // this side has finished it
   kBroken,      // the connection is lost for another reason
 };
 
@@ -70,7 +71,10 @@
   [[nodiscard]] bool send_immediately(const Json& message, const std::vector<int>& descriptors);
   // Returns whether the other side has received every message, or can't receive any more.
   [[nodiscard]] bool is_everything_received();
-  // Disconnects. The owner is not called after this.
+  // Ends the connection once every message that the other side has sent is delivered. What it sends later
+  // fails at its end.
+  void finish() { disconnect(ChannelEnd::kFinished); }
+  // Disconnects, and drops what is not received yet. The owner is not called after this.
   void close();
 
  private:
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -152,6 +152,12 @@
   return successor_.channel == nullptr || successor_.channel->is_everything_received();
 }
 
+bool HotRestartPeer::leave_predecessor() {
+  if (!has_predecessor()) return true;
+  if (received_streams_ == 0) predecessor_.channel->finish();
+  return false;
+}
+
 void HotRestartPeer::broadcast(const Json& message) {
   for (const Connection* connection : {&predecessor_, &successor_}) {
     if (connection->channel != nullptr) connection->channel->send(message);
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -91,6 +91,11 @@
   // must not end before, as a successor of an earlier release may then drop what still waits for it.
   [[nodiscard]] bool has_successor_received_everything() const;
 
+  // Ends the connection to the predecessor, after which this process may end: every stream that the
+  // predecessor has sent is passed to the owner first, and it keeps the others. A predecessor that hands its
+  // streams over is waited for, as it ends by itself. Returns whether there is no predecessor. Must be called
+  // again until then.
+  [[nodiscard]] bool leave_predecessor();
   // Notifies the other processes that an operator drained an endpoint or returned it to service.
   void notify_administrative_state(const routing::EndpointId& endpoint, routing::AdministrativeState state);
   // Notifies the successor that this process has left the VRRP group, so that the successor may join it.
--- a/tests/hot_restart/raw_socket.hpp
+++ b/tests/hot_restart/raw_socket.hpp
@@ -51,6 +51,10 @@
     return socket;
   }
   void send(std::string_view text, const std::vector<int>& descriptors = {}) const {
+    REQUIRE(try_send(text, descriptors));
+  }
+  // Returns whether the kernel has accepted the packet.
+  [[nodiscard]] bool try_send(std::string_view text, const std::vector<int>& descriptors = {}) const {
     iovec piece{const_cast<char*>(text.data()), text.size()};
     msghdr head{};
     head.msg_iov = &piece;
@@ -66,7 +70,7 @@
       control->cmsg_len = CMSG_LEN(sizeof(int) * 2);
       std::memcpy(CMSG_DATA(control), descriptors.data(), sizeof(int) * 2);
     }
-    REQUIRE(::sendmsg(fd_.get(), &head, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    return ::sendmsg(fd_.get(), &head, MSG_NOSIGNAL) == static_cast<ssize_t>(text.size());
   }
   // Returns nullopt if there is no packet yet.
   [[nodiscard]] std::optional<Packet> receive() const {
