Hot restart: a hand-over that is too long for a packet loses what was learned, not itself

Operators would see: with many endpoints in slow start the new process starts without a hand-over, 1.5 s late, and connections in the old one's backlog are reset.

Cause: a packet holds 512 KiB at most. Where the hand-over was longer even without the endpoint list, send() returned false, which was ignored; nothing was logged.

Change: what was learned is left out as well where it does not fit. A hand-over that can't be sent at all, a message that can't be read, and a stream without its sockets are logged.

The test, a learned state of 600 KiB, failed before: nothing was sent. The channel's test with invalid bytes now also counts the reports.

--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -165,8 +165,11 @@
   }
   const char* text = receive_buffer_.data();
   const Json message = Json::parse(text, text + packet.size, nullptr, false);
-  // Later releases may send messages of other kinds, which are ignored.
-  if (message.is_object()) owner_->on_message(message, std::move(packet.descriptors));
+  if (message.is_object()) {
+    owner_->on_message(message, std::move(packet.descriptors));
+  } else {
+    owner_->on_unreadable_message();
+  }
   return true;
 }
 
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -48,6 +48,8 @@
     virtual ~Owner() = default;
     // Called for each message, with the descriptors that were attached to it.
     virtual void on_message(const Json& message, Descriptors descriptors) = 0;
+    // Called for a packet that is not a JSON object.
+    virtual void on_unreadable_message() = 0;
     // Called when there are no descriptors for the sockets of the next message, which is then received later.
     // Closes a descriptor that this process can spare. Returns false if there is none.
     virtual bool reclaim_descriptor() = 0;
--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -204,13 +204,18 @@
   return learned_state;
 }
 
-Json encode_without_lists(const Handover& message) {
+Json encode_without_learned_state(const Handover& message) {
   return {{key::kHandover, true},
           {key::kListenerNames, message.listener_names},
-          {key::kLearnedState, encode(message.learned_state)},
           {key::kDegradationLevel, message.degradation_level}};
 }
 
+Json encode_without_lists(const Handover& message) {
+  Json object = encode_without_learned_state(message);
+  object[key::kLearnedState] = encode(message.learned_state);
+  return object;
+}
+
 Json encode(const Handover& message) {
   Json object = encode_without_lists(message);
   object[key::kEndpointList] = message.endpoint_list;
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -89,6 +89,8 @@
 // Returns the shorter form of a Handover that is too long for one packet. It omits what the successor gets in
 // other ways: the endpoint list from service discovery, and the open requests from messages as they complete.
 [[nodiscard]] Json encode_without_lists(const Handover& message);
+// Returns the form of a Handover whose learned state, too, is too long. The successor learns it anew.
+[[nodiscard]] Json encode_without_learned_state(const Handover& message);
 
 // Returns the messages in a JSON object from the other process, or none if no key is known. Doesn't throw:
 // members that can't be parsed keep their defaults.
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -77,7 +77,15 @@
   handover.learned_state = owner_.learned_state();
   handover.degradation_level = owner_.degradation_level();
   if (successor_.channel->send(encode(handover), descriptors)) return;
-  successor_.channel->send(encode_without_lists(handover), descriptors);
+  send_short_handover(handover, descriptors);
+}
+
+// Sends what fits into one packet.
+void HotRestartPeer::send_short_handover(const Handover& handover, const std::vector<int>& descriptors) {
+  HandoverChannel& channel = *successor_.channel;
+  const bool is_sent = channel.send(encode_without_lists(handover), descriptors) ||
+                       channel.send(encode_without_learned_state(handover), descriptors);
+  if (!is_sent) log_("upgrade: the hand-over can't be sent: the successor starts without it");
 }
 
 void HotRestartPeer::on_message(PeerRole sender, const Json& object, Descriptors descriptors) {
@@ -120,13 +128,12 @@
 }
 
 void HotRestartPeer::handle(const StreamTransfer& message, Descriptors& descriptors) {
-  if (descriptors.size() != kStreamDescriptors) return;
+  if (descriptors.size() != kStreamDescriptors) return log_("upgrade: can't continue a stream: no sockets");
   ++received_streams_;
   owner_.on_stream(message, std::move(descriptors[0]), std::move(descriptors[1]));
 }
 
-void HotRestartPeer::handle(const InvalidStreamTransfer& message, Descriptors& descriptors) {
-  if (descriptors.size() != kStreamDescriptors) return;
+void HotRestartPeer::handle(const InvalidStreamTransfer& message, Descriptors& /*descriptors*/) {
   log_("upgrade: can't continue a stream: " + message.problem);
 }
 
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -117,6 +117,7 @@
     void on_message(const Json& message, Descriptors descriptors) override {
       peer.on_message(role, message, std::move(descriptors));
     }
+    void on_unreadable_message() override { peer.log_("upgrade: a message can't be read and is ignored"); }
     bool reclaim_descriptor() override { return peer.owner_.reclaim_descriptor(); }
     void on_channel_closed(ChannelEnd end) override { peer.on_channel_closed(*this, end); }
     HotRestartPeer& peer;
@@ -127,6 +128,7 @@
   void start_without_handover();
   void on_successor_connected(net::UniqueFd socket);
   void send_handover();
+  void send_short_handover(const Handover& handover, const std::vector<int>& descriptors);
   void on_message(PeerRole sender, const Json& object, Descriptors descriptors);
   void handle(Handover& message, Descriptors& descriptors);
   void handle(const SuccessorServing& message, Descriptors& descriptors);
--- a/tests/hot_restart/handover_channel_test.cpp
+++ b/tests/hot_restart/handover_channel_test.cpp
@@ -30,6 +30,7 @@
     received.push_back({message.at("number").get<int>(), descriptors.size()});
     if (after_message) after_message();
   }
+  void on_unreadable_message() override { FAIL("a message can't be read"); }
   bool reclaim_descriptor() override { return after_shortage && after_shortage(); }
   void on_channel_closed(ChannelEnd channel_end) override {
     CHECK_FALSE(end);
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -54,6 +54,7 @@
   std::vector<routing::RequestId> open_request_ids() override { return {"a1", "b\"2", "\xff"}; }
   routing::LearnedState learned_state() override {
     routing::LearnedState state;
+    if (long_learned_state) state.endpoints.push_back({std::string(600UL * 1024, 'x'), {}, {}});
     state.starts[0] = {0.1, 1.0 / 3, 7};
     state.starts[1] = {12.5, 0.25, 40};
     state.remote_starts = {3, 0.5, 9};
@@ -96,6 +97,7 @@
   void on_peers_changed() override { events.emplace_back("peers changed"); }
 
   bool long_list = false;
+  bool long_learned_state = false;
   std::vector<hot_restart::HandoverState> states;
   std::vector<std::string> events;
 };
@@ -193,6 +195,22 @@
   fixture.expect(successor, kHandoverWithoutList, 2);
 }
 
+// Guards against a hand-over that is not sent at all, with the listening sockets in it, because of its
+// length.
+TEST_CASE("a learned state that is too long is omitted from the hand-over as well", "[upgrade]") {
+  PeerFixture fixture;
+  fixture.owner.long_list = true;
+  fixture.owner.long_learned_state = true;
+  const RawSocket successor = fixture.serve();
+  const Packet packet = fixture.next(successor);
+  const Json handover = Json::parse(packet.text);
+  CHECK(packet.descriptors == 2);
+  CHECK(handover.at("estate") == true);
+  CHECK(handover.at("listening") == Json::parse(kHandover).at("listening"));
+  CHECK(handover.at("level") == Json::parse(kHandover).at("level"));
+  CHECK_FALSE(handover.contains("knowledge"));
+}
+
 TEST_CASE("the previous release's hand-over decodes to the state that it encodes",
           "[upgrade][compatibility]") {
   PeerFixture fixture;
--- a/tests/hot_restart/hot_restart_state_test.cpp
+++ b/tests/hot_restart/hot_restart_state_test.cpp
@@ -60,9 +60,11 @@
     for (auto& fd : received) descriptors.push_back(std::move(fd));
   }
   void on_channel_closed(hot_restart::ChannelEnd) override { has_ended = true; }
+  void on_unreadable_message() override { ++unreadable; }
   bool reclaim_descriptor() override { return false; }
   std::vector<Json> messages;
   hot_restart::Descriptors descriptors;
+  int unreadable = 0;
   bool has_ended = false;
 };
 
@@ -95,7 +97,8 @@
   CHECK(copy.local_endpoint() == listening.local_endpoint());
   CHECK_FALSE(near->send({{"text", std::string(600UL * 1024, 'x')}}));
   std::mt19937 random(11);
-  for (int i = 0; i < 200; ++i) {
+  constexpr int kInvalidPackets = 200;
+  for (int i = 0; i < kInvalidPackets; ++i) {
     std::string garbage(1 + random() % 300, ' ');
     for (char& byte : garbage) byte = static_cast<char>(random() % 256);
     ::send(raw, garbage.data(), garbage.size(), MSG_NOSIGNAL);
@@ -103,6 +106,7 @@
   far->send({{"last", true}});
   REQUIRE(work.until([&] { return !near_owner.messages.empty(); }));
   CHECK(near_owner.messages.back().contains("last"));
+  CHECK(near_owner.unreadable == kInvalidPackets);  // each is reported
   far->close();
   CHECK(work.until([&] { return near_owner.has_ended; }));
   CHECK_FALSE(far_owner.has_ended);  // the closing side gets no further event
