Hot restart: the ids of open requests follow a hand-over without lists

Callers would see: a request that is in progress at the old process runs a second time at the new one, if its client sends it again, where the endpoint list is too long for the hand-over.

Cause: the shorter form omits the ids of open requests, and the comment said that they come in messages as they complete; but these only remove ids.

Change: each open id follows in a message of its own, of a kind that the previous release knows.

The test failed before: no message followed the short hand-over.

--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -87,7 +87,7 @@
 [[nodiscard]] Json encode(const routing::LearnedState& learned_state);
 
 // Returns the shorter form of a Handover that is too long for one packet. It omits what the successor gets in
-// other ways: the endpoint list from service discovery, and the open requests from messages as they complete.
+// other ways: the endpoint list from service discovery, and the open requests in messages of their own.
 [[nodiscard]] Json encode_without_lists(const Handover& message);
 // Returns the form of a Handover whose learned state, too, is too long. The successor learns it anew.
 [[nodiscard]] Json encode_without_learned_state(const Handover& message);
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -80,12 +80,15 @@
   send_short_handover(handover, descriptors);
 }
 
-// Sends what fits into one packet.
+// Sends what fits into one packet, and the open requests in messages of their own: the successor must reject
+// them, as they run here.
 void HotRestartPeer::send_short_handover(const Handover& handover, const std::vector<int>& descriptors) {
   HandoverChannel& channel = *successor_.channel;
   const bool is_sent = channel.send(encode_without_lists(handover), descriptors) ||
                        channel.send(encode_without_learned_state(handover), descriptors);
   if (!is_sent) log_("upgrade: the hand-over can't be sent: the successor starts without it");
+  for (const routing::RequestId& id : handover.open_request_ids)
+    channel.send(encode(RequestStatusChanged{id, engine::RequestProgress::kInProgress}));
 }
 
 void HotRestartPeer::on_message(PeerRole sender, const Json& object, Descriptors descriptors) {
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -195,6 +195,19 @@
   fixture.expect(successor, kHandoverWithoutList, 2);
 }
 
+// Guards against a request that runs at both processes, because the successor of a process with a long list
+// was not notified of the requests that were open.
+TEST_CASE("the open requests follow a hand-over without lists in messages of their own",
+          "[upgrade][compatibility]") {
+  PeerFixture fixture;
+  fixture.owner.long_list = true;
+  const RawSocket successor = fixture.serve();
+  fixture.expect(successor, kHandoverWithoutList, 2);
+  fixture.expect(successor, kRequestOpened);
+  fixture.expect(successor, R"({"open":true,"request":"b\"2"})");
+  fixture.expect(successor, "{\"open\":true,\"request\":\"\xef\xbf\xbd\"}");
+}
+
 // Guards against a hand-over that is not sent at all, with the listening sockets in it, because of its
 // length.
 TEST_CASE("a learned state that is too long is omitted from the hand-over as well", "[upgrade]") {
