Hot restart: too many descriptors on their way no longer end the channel

Callers would see: many streams end in the middle at once where an old process without privileges hands over more streams than its successor receives in time.

Cause: a process may have as many descriptors in other processes' sockets as it may open (unix(7), ETOOMANYREFS). send_packet() reported this as a lost connection, like ENOBUFS and ENOMEM.

Change: these three are a reason to try again, after 10 ms, as the socket counts as writable.

The test sends to a process that does not receive, from one with a limit of 16 descriptors and without the rights of root; before, the error counted as a lost connection.

--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -16,9 +16,14 @@
 // The most messages that are queued for a process that doesn't read. A working process leaves far fewer
 // unread; the limit bounds memory.
 constexpr std::size_t kMaxQueuedMessages = 10000;
-// Time until the next try where this process lacks descriptors.
+// Time until the next try where descriptors or the kernel's memory are short.
 constexpr std::chrono::milliseconds kRetryInterval{10};
 
+// Returns whether the same packet can be sent later.
+bool is_temporary(SendStatus status) {
+  return status == SendStatus::kWouldBlock || status == SendStatus::kNoResources;
+}
+
 std::string to_packet(const Json& message) {
   return message.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
@@ -50,7 +55,7 @@
 }
 
 HandoverChannel::HandoverChannel(asio::io_context& io, net::UniqueFd socket, Owner& owner)
-    : socket_(io, socket.release()), retry_timer_(io), owner_(&owner) {}
+    : socket_(io, socket.release()), send_timer_(io), receive_timer_(io), owner_(&owner) {}
 
 std::shared_ptr<HandoverChannel> HandoverChannel::connect(asio::io_context& io, const std::string& path,
                                                           Owner& owner) {
@@ -65,9 +70,9 @@
   if (end_) return true;
   std::string text = to_packet(message);
   if (text.size() > kMaxPacketBytes || descriptors.size() > kMaxPacketDescriptors) return false;
-  if (!outgoing_.empty()) return enqueue(std::move(text), descriptors);
-  const SendStatus status = send_now(text, descriptors);
-  if (status == SendStatus::kWouldBlock) return enqueue(std::move(text), descriptors);
+  SendStatus status = SendStatus::kWouldBlock;
+  if (outgoing_.empty()) status = send_now(text, descriptors);
+  if (is_temporary(status)) return enqueue(std::move(text), descriptors, status);
   return status != SendStatus::kTooLong;
 }
 
@@ -87,27 +92,30 @@
   return status;
 }
 
-bool HandoverChannel::enqueue(std::string text, std::span<const int> descriptors) {
+bool HandoverChannel::enqueue(std::string text, std::span<const int> descriptors, SendStatus status) {
   OutgoingMessage message{std::move(text), {}};
   for (const int descriptor : descriptors) {
     message.descriptors.emplace_back(::fcntl(descriptor, F_DUPFD_CLOEXEC, 0));
     if (!message.descriptors.back()) return false;
   }
+  const bool is_first = outgoing_.empty();
   outgoing_.push_back(std::move(message));
-  if (outgoing_.size() > kMaxQueuedMessages) {
-    disconnect(ChannelEnd::kQueueFull);
-  } else {
-    wait_until_writable();
-  }
+  if (is_first) wait_to_send(status);
+  if (outgoing_.size() > kMaxQueuedMessages) disconnect(ChannelEnd::kQueueFull);
   return true;
 }
 
+void HandoverChannel::wait_to_send(SendStatus status) {
+  if (status == SendStatus::kWouldBlock) return wait_until_writable();
+  send_timer_.expires_after(kRetryInterval);  // the socket counts as writable
+  send_timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
+    if (!error && !self->end_) self->send_queued();
+  });
+}
+
 void HandoverChannel::wait_until_writable() {
-  if (is_waiting_until_writable_) return;
-  is_waiting_until_writable_ = true;
   socket_.async_wait(asio::posix::descriptor_base::wait_write,
                      [self = shared_from_this()](boost::system::error_code error) {
-                       self->is_waiting_until_writable_ = false;
                        if (!error && !self->end_) self->send_queued();
                      });
 }
@@ -116,7 +124,7 @@
   while (!outgoing_.empty()) {
     const OutgoingMessage& message = outgoing_.front();
     const SendStatus status = send_now(message.text, numbers_of(message.descriptors));
-    if (status == SendStatus::kWouldBlock) return wait_until_writable();
+    if (is_temporary(status)) return wait_to_send(status);
     if (status == SendStatus::kBroken) return;  // the queue has been cleared
     outgoing_.pop_front();
   }
@@ -145,8 +153,8 @@
 }
 
 void HandoverChannel::retry_receiving() {
-  retry_timer_.expires_after(kRetryInterval);
-  retry_timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
+  receive_timer_.expires_after(kRetryInterval);
+  receive_timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
     if (!error) self->receive_all();
   });
 }
@@ -190,7 +198,8 @@
 
 void HandoverChannel::close() {
   owner_ = nullptr;
-  retry_timer_.cancel();
+  send_timer_.cancel();
+  receive_timer_.cancel();
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -85,7 +85,8 @@
     Descriptors descriptors;  // copies, as the caller may close its own before the message is sent
   };
   [[nodiscard]] SendStatus send_now(const std::string& text, std::span<const int> descriptors);
-  [[nodiscard]] bool enqueue(std::string text, std::span<const int> descriptors);
+  [[nodiscard]] bool enqueue(std::string text, std::span<const int> descriptors, SendStatus status);
+  void wait_to_send(SendStatus status);
   void wait_until_writable();
   void send_queued();
   void wait_for_packet();
@@ -97,12 +98,12 @@
   void report_end();
 
   boost::asio::posix::stream_descriptor socket_;
-  boost::asio::steady_timer retry_timer_;
+  boost::asio::steady_timer send_timer_;
+  boost::asio::steady_timer receive_timer_;
   Owner* owner_;  // null once closed
   std::deque<OutgoingMessage> outgoing_;
   std::vector<char> receive_buffer_;  // allocated once, since it is large
-  bool is_waiting_until_writable_ = false;
-  std::optional<ChannelEnd> end_;  // set once nothing can be sent any more
+  std::optional<ChannelEnd> end_;     // set once nothing can be sent any more
 };
 
 // Accepts connections from successors. Owned by HotRestartPeer and used on the event loop's thread only.
--- a/src/hot_restart/packet_socket.cpp
+++ b/src/hot_restart/packet_socket.cpp
@@ -75,6 +75,9 @@
 
 bool would_block(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
+// unix(7): a process may have as many descriptors on their way as it may open (ETOOMANYREFS).
+bool lacks_resources(int error) { return error == ETOOMANYREFS || error == ENOBUFS || error == ENOMEM; }
+
 }  // namespace
 
 net::UniqueFd connect_packet_socket(const std::string& path) {
@@ -114,6 +117,7 @@
   if (!descriptors.empty()) attach_descriptors(header, ancillary, descriptors);
   if (::sendmsg(socket, &header, MSG_DONTWAIT | MSG_NOSIGNAL) >= 0) return SendStatus::kSent;
   if (would_block(errno)) return SendStatus::kWouldBlock;
+  if (lacks_resources(errno)) return SendStatus::kNoResources;
   return errno == EMSGSIZE ? SendStatus::kTooLong : SendStatus::kBroken;
 }
 
--- a/src/hot_restart/packet_socket.hpp
+++ b/src/hot_restart/packet_socket.hpp
@@ -25,9 +25,10 @@
 // The result of sending a packet.
 enum class SendStatus {
   kSent,
-  kWouldBlock,  // the other side must read earlier packets first
-  kTooLong,     // longer than the kernel accepts
-  kBroken,      // the connection is lost
+  kWouldBlock,   // the other side must read earlier packets first
+  kNoResources,  // the kernel lacks memory, or too many descriptors are on their way to other processes
+  kTooLong,      // longer than the kernel accepts
+  kBroken,       // the connection is lost
 };
 
 // The result of receiving a packet.
--- a/tests/hot_restart/handover_channel_test.cpp
+++ b/tests/hot_restart/handover_channel_test.cpp
@@ -3,8 +3,10 @@
 #include "hot_restart/handover_channel.hpp"
 
 #include <sys/resource.h>
+#include <sys/wait.h>
 
 #include <algorithm>
+#include <cstdlib>
 #include <functional>
 
 #include "raw_socket.hpp"
@@ -190,5 +192,42 @@
   CHECK(fixture.owner.end == ChannelEnd::kSendFailed);
 }
 
+// Runs a function in a process of its own, without the rights of root, and returns what it returns.
+int in_unprivileged_process(const std::function<int()>& function) {
+  constexpr uid_t kNobody = 65534;
+  const pid_t child = ::fork();
+  REQUIRE(child >= 0);
+  if (child == 0) {
+    if (::getuid() == 0 && ::setresuid(kNobody, kNobody, kNobody) != 0) ::_exit(EXIT_FAILURE);
+    ::_exit(function());
+  }
+  int status = 0;
+  REQUIRE(::waitpid(child, &status, 0) == child);
+  return WIFEXITED(status) ? WEXITSTATUS(status) : EXIT_FAILURE;
+}
+
+// Guards against a channel that is closed, with all streams in it, because the new process is held up and the
+// kernel limits the descriptors that wait for it.
+TEST_CASE("a packet can be sent later where too many descriptors wait for the other process", "[upgrade]") {
+  constexpr rlim_t kFewDescriptors = 16;
+  constexpr int kPackets = 100;
+  std::array<int, 2> ends{};
+  REQUIRE(::socketpair(AF_UNIX, SOCK_SEQPACKET | SOCK_CLOEXEC, 0, ends.data()) == 0);
+  const net::UniqueFd near(ends[0]);
+  const net::UniqueFd far(ends[1]);
+  const int status = in_unprivileged_process([&] {
+    rlimit limit{};
+    ::getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = kFewDescriptors;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+    const std::array<int, 2> sent{STDIN_FILENO, STDOUT_FILENO};
+    auto last = hot_restart::SendStatus::kSent;
+    for (int i = 0; i < kPackets && last == hot_restart::SendStatus::kSent; ++i)
+      last = hot_restart::send_packet(near.get(), "{}", sent);
+    return static_cast<int>(last);
+  });
+  CHECK(status == static_cast<int>(hot_restart::SendStatus::kNoResources));
+}
+
 }  // namespace
 }  // namespace dispatcher::testing
