--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -1,4 +1,4 @@
-"""Stand-ins and processes for the cases in review/6 to review/9: discovery, replicas, clients, the dispatcher.
+"""Stand-ins and processes for the cases in review/6 to review/10: discovery, replicas, clients, the dispatcher.
 
 Python's standard library alone. Everything listens on loopback addresses and free ports.
 """
