Tests draw random numbers in statements, in an order that each machine keeps

Drawn in statements, the last argument's first, the recorded value holds on arm64.

The same elsewhere: arguments of add_group(), assign(), add(), make_entry() and adopt_incarnation(), operands of % in split_randomly() and of + in the texts of random levels and expressions. None of these has a recorded value.

--- a/tests/degradation/degradation_test.cpp
+++ b/tests/degradation/degradation_test.cpp
@@ -281,12 +281,16 @@
   std::string text = "levels: [";
   const unsigned count = 1 + draw.below(3);
   for (unsigned i = 0; i < count; ++i) {
-    const double at = draw.between(0.05, 0.9);
-    text += "{name: \"l" + std::to_string(i) + "\", enter: \"late.command > " + std::to_string(at) +
-            "\", leave: \"late.command < " + std::to_string(at * draw.between(0.5, 1)) +
-            "\", enter_for_ms: " + std::to_string(draw.below(3000)) +
-            ", leave_for_ms: " + std::to_string(draw.below(3000)) +
-            ", least_stay_ms: " + std::to_string(1000 + draw.below(4000)) + "}, ";
+    const double enter_at = draw.between(0.05, 0.9);
+    const double leave_at = enter_at * draw.between(0.5, 1);
+    const unsigned enter_for_ms = draw.below(3000);
+    const unsigned leave_for_ms = draw.below(3000);
+    const unsigned min_stay_ms = 1000 + draw.below(4000);
+    text += "{name: \"l" + std::to_string(i) + "\", enter: \"late.command > " + std::to_string(enter_at) +
+            "\", leave: \"late.command < " + std::to_string(leave_at) +
+            "\", enter_for_ms: " + std::to_string(enter_for_ms) +
+            ", leave_for_ms: " + std::to_string(leave_for_ms) +
+            ", least_stay_ms: " + std::to_string(min_stay_ms) + "}, ";
   }
   return text + "]";
 }
--- a/tests/gossip/gossip_codec_test.cpp
+++ b/tests/gossip/gossip_codec_test.cpp
@@ -25,7 +25,8 @@
   entry.version = 1 + random() % replicated_state::kMaxVersion;
   entry.is_tombstone = random() % 4 == 0;
   entry.age = milliseconds(10) * static_cast<int>(random() % 6000);
-  entry.payload.assign(random() % 41, static_cast<std::uint8_t>(random()));
+  const auto byte = static_cast<std::uint8_t>(random());
+  entry.payload.assign(random() % 41, byte);
   return entry;
 }
 
@@ -36,8 +37,10 @@
     if (random_() % 2 == 0) probe_ = Probe::ping_request(static_cast<std::uint32_t>(random_()), 5);
     if (probe_) RC_ASSERT(builder_.add(*probe_));
     if (random_() % 2 == 0) builder_.add_members_hash(static_cast<std::uint32_t>(random_()));
-    if (random_() % 2 == 0)
-      builder_.add_group(static_cast<MemberIndex>(random_() % 10), static_cast<std::uint32_t>(random_()));
+    if (random_() % 2 == 0) {
+      const auto hash = static_cast<std::uint32_t>(random_());
+      builder_.add_group(static_cast<MemberIndex>(random_() % 10), hash);
+    }
     for (std::size_t i = 0; i < random_() % 60; ++i) add_content();
   }
 
@@ -105,9 +108,11 @@
       case 4:
         returns_ += builder_.add(QuotaReturn{{1, random_()}, 9});
         break;
-      case 5:
-        digests_ += builder_.add(draw_digest(), random_() % 2 == 0 ? DigestRole::kReply : DigestRole::kOffer);
+      case 5: {
+        const DigestRole role = random_() % 2 == 0 ? DigestRole::kReply : DigestRole::kOffer;
+        digests_ += builder_.add(draw_digest(), role);
         break;
+      }
     }
   }
 
--- a/tests/gossip/gossip_digest_test.cpp
+++ b/tests/gossip/gossip_digest_test.cpp
@@ -67,7 +67,10 @@
     quotas.set_demand(kRateBudget.id, random_() % 2 == 0 ? 3000 : 100);
     quotas.set_demand(kUnitsBudget.id, random_() % 200);
     quotas.consume(fixture_.clock(member), kUnitsBudget.id, random_() % 3);
-    fixture_.write_evidence(member, random_() % 9, {static_cast<std::uint32_t>(random_() % 5), 5});
+    // Drawn in statements, as the order in which a call's arguments are evaluated differs between machines.
+    const auto failures = static_cast<std::uint32_t>(random_() % 5);
+    const std::uint64_t id = random_() % 9;
+    fixture_.write_evidence(member, id, {failures, 5});
   }
 
   void disturb(MemberIndex member) {
--- a/tests/http/parsers_test.cpp
+++ b/tests/http/parsers_test.cpp
@@ -15,7 +15,8 @@
 std::vector<std::string> split_randomly(const std::string& text, Random& random) {
   std::vector<std::string> pieces;
   for (std::size_t at = 0; at < text.size();) {
-    const std::size_t length = 1 + random() % (random() % 3 == 0 ? 200 : 7);
+    const std::size_t max_length = random() % 3 == 0 ? 200 : 7;
+    const std::size_t length = 1 + random() % max_length;
     pieces.push_back(text.substr(at, length));
     at += length;
   }
--- a/tests/replicated_state/replicated_map_test.cpp
+++ b/tests/replicated_state/replicated_map_test.cpp
@@ -66,7 +66,9 @@
   std::vector<Entry> entries;
   std::map<std::pair<MemberIndex, std::uint64_t>, std::uint64_t> versions;
   for (int i = 0; i < length; ++i) {
-    Entry entry = make_entry(1 + random() % 3, random() % 12, 0, static_cast<std::uint8_t>(random() % 3));
+    const auto payload = static_cast<std::uint8_t>(random() % 3);
+    const std::uint64_t id = random() % 12;
+    Entry entry = make_entry(1 + random() % 3, id, 0, payload);
     entry.key.kind = 5 + random() % 2;
     entry.incarnation = 1 + random() % incarnations;
     entry.version = ++versions[{entry.key.owner, entry.incarnation}];
@@ -120,7 +122,10 @@
     for (Replica* replica : {&one, &other}) {
       std::shuffle(entries.begin(), entries.end(), random);
       for (const Entry& entry : entries) {
-        if (random() % 10 == 0) replica->map.adopt_incarnation(1 + random() % 3, 1 + random() % 3);
+        if (random() % 10 == 0) {
+          const std::uint64_t incarnation = 1 + random() % 3;
+          replica->map.adopt_incarnation(1 + random() % 3, incarnation);
+        }
         replica->map.merge(kNow, entry);
       }
       for (MemberIndex member = 1; member < 4; ++member) replica->map.adopt_incarnation(member, 3);
