A stream is cut 4.85 s after its last event, not 4.3 s, as its endpoint may be slow

Cause: the idle time-out of streams was 0.7 s under the time that a client may be left waiting, 5 s, without a reason for more than the 0.15 s for which a process may be held up. Change: the time-out is 5 s - 0.15 s. Why it works: it is the latest moment at which the client is still released in time by a process that is held up.

--- a/src/engine/stream_relay.cpp
+++ b/src/engine/stream_relay.cpp
@@ -4,10 +4,13 @@
 
 namespace {
 
-// A stream without any event for this time is aborted. A client may be left waiting for less than 5 s after
-// the last event of a running endpoint. The events of a slow endpoint are seconds apart in the worst case, so
-// the timeout is as long as that limit allows.
-constexpr Duration kIdleTimeout = std::chrono::milliseconds(4300);
+// How long a client may be left waiting after the last event of a running endpoint.
+constexpr Duration kMaxClientWait = std::chrono::seconds(5);
+// The longest time for which this process may be held up between reading its clock and writing.
+constexpr Duration kMaxHoldUp = std::chrono::milliseconds(150);
+// A stream without any event for this time is aborted, and no earlier, since the events of a slow endpoint
+// may be seconds apart.
+constexpr Duration kIdleTimeout = kMaxClientWait - kMaxHoldUp;
 
 }  // namespace
 
