A stream whose next event has arrived is not cut by a process that was held up

What callers would see: the stream of a slow endpoint ends although its next event is there.

Cause: the idle time-out of a stream looks at the clock alone. Where the process was held up meanwhile, or reading was suspended for a hand-over, the event waits in the kernel's buffer. Change: at the time-out the engine asks the upstream client whether bytes of the response are unread, and waits until they are read. Why it works: a stream is cut only if its endpoint is late, not this process.

Result: the new test in idle_stream_test failed before (client closed without the event) and passes.

--- a/src/engine/interfaces.hpp
+++ b/src/engine/interfaces.hpp
@@ -170,6 +170,8 @@
   virtual void release_reservation(const RequestId& id, const LateReads& late_reads) = 0;
   /// Ends the release calls of a request, because an attempt left prompt state that is needed.
   virtual void cancel_release(const RequestId& id) = 0;
+  /// Returns whether bytes of an active attempt's response have arrived that were not read yet.
+  [[nodiscard]] virtual bool has_unread_response(AttemptId attempt) = 0;
   /// Returns whether an active attempt has an established connection. An attempt without one can't have left
   /// any state.
   [[nodiscard]] virtual bool has_connection(AttemptId attempt) = 0;
--- a/src/engine/stream_relay.cpp
+++ b/src/engine/stream_relay.cpp
@@ -11,6 +11,8 @@
 // A stream without any event for this time is aborted, and no earlier, since the events of a slow endpoint
 // may be seconds apart.
 constexpr Duration kIdleTimeout = kMaxClientWait - kMaxHoldUp;
+// Time in which a response that has arrived is read.
+constexpr Duration kReadTime = std::chrono::milliseconds(20);
 
 }  // namespace
 
@@ -69,11 +71,15 @@
 }
 
 void StreamRelay::on_idle(SlotId slot) {
-  const ActiveRequest* request = requests_.find(slot);
+  ActiveRequest* request = requests_.find(slot);
   if (request == nullptr || !request->streaming_attempt || request->is_answered) return;
+  const AttemptId attempt{slot, *request->streaming_attempt};
+  if (context_.upstream.has_unread_response(attempt)) {  // this process is late, not the endpoint
+    request->idle_timer = context_.timers.add(context_.clock() + kReadTime, [this, slot] { on_idle(slot); });
+    return;
+  }
   context_.log("stream " + request->id.value() + " idle: aborted");
-  attempts_.terminate({slot, *request->streaming_attempt}, AttemptStatus::kTimeout,
-                      AttemptEndReason::kStreamIdle);
+  attempts_.terminate(attempt, AttemptStatus::kTimeout, AttemptEndReason::kStreamIdle);
 }
 
 }  // namespace dispatcher::engine
--- a/src/simulation/scenario.cpp
+++ b/src/simulation/scenario.cpp
@@ -115,6 +115,7 @@
     fleet_.release(id);
   }
   void cancel_release(const engine::RequestId&) override {}
+  bool has_unread_response(engine::AttemptId) override { return false; }
   bool has_connection(engine::AttemptId attempt) override { return tasks_.contains(attempt); }
 
   // ResponseSink, through which the engine calls the clients.
--- a/src/upstream/attempt_runner.cpp
+++ b/src/upstream/attempt_runner.cpp
@@ -83,6 +83,11 @@
   return connection != nullptr && connection->is_connected;
 }
 
+bool AttemptRunner::has_unread_response(AttemptId attempt) {
+  const PooledConnection* connection = connection_of(attempt);
+  return connection != nullptr && connection->is_connected && connection->transport->is_readable();
+}
+
 bool AttemptRunner::is_endpoint_silent(AttemptId attempt) {
   const PooledConnection* connection = connection_of(attempt);
   if (connection == nullptr || !connection->exchange.is_request_sent) return false;
--- a/src/upstream/attempt_runner.hpp
+++ b/src/upstream/attempt_runner.hpp
@@ -44,6 +44,8 @@
   void resume(AttemptId attempt);
   // Returns whether the attempt has an established connection.
   [[nodiscard]] bool is_connected(AttemptId attempt);
+  // Returns whether the kernel holds bytes of the attempt's response, or its end.
+  [[nodiscard]] bool has_unread_response(AttemptId attempt);
   // Returns whether no bytes have arrived from the attempt's endpoint since its request was written.
   [[nodiscard]] bool is_endpoint_silent(AttemptId attempt);
 
--- a/src/upstream/replica_client.hpp
+++ b/src/upstream/replica_client.hpp
@@ -70,6 +70,7 @@
   bool is_endpoint_silent(AttemptId attempt) override;
   void release_reservation(const RequestId& id, const engine::LateReads& late_reads) override;
   void cancel_release(const RequestId& id) override;
+  bool has_unread_response(AttemptId attempt) override { return attempts_.has_unread_response(attempt); }
   bool has_connection(AttemptId attempt) override;
 
  private:
--- a/tests/engine/engine_digest_parts.hpp
+++ b/tests/engine/engine_digest_parts.hpp
@@ -77,6 +77,7 @@
   void cancel_release(const engine::RequestId& id) override {
     fixture_.record("cancel_release", number_, id);
   }
+  bool has_unread_response(engine::AttemptId) override { return false; }
   bool has_connection(engine::AttemptId attempt) override {
     fixture_.record("under_way", number_, attempt);
     const auto it = attempts.find(attempt);
--- a/tests/engine/engine_fixture.hpp
+++ b/tests/engine/engine_fixture.hpp
@@ -77,6 +77,7 @@
     if (confirms_releases) timers.add(now, [this, id] { engine.on_reservation_released(id, {}); });
   }
   bool is_client_connected(SlotId) override { return client_connected; }
+  bool has_unread_response(engine::AttemptId) override { return false; }
   bool has_connection(engine::AttemptId) override { return connected; }
   void start_stream(SlotId) override { calls.push_back("begin"); }
   bool write_events(SlotId, std::string_view) override { return has_capacity; }
--- a/tests/engine/idle_stream_test.cpp
+++ b/tests/engine/idle_stream_test.cpp
@@ -41,5 +41,27 @@
   CHECK(fixture.is_cut());
 }
 
+// A writer's behavior: the stream stays open after its first event.
+void begin_stream(FakeEndpoint& endpoint, SlotId client, const ReceivedRequest&) {
+  endpoint.stream_words(client, {"one"}, StreamEnd::kOpen);
+}
+
+// Guards against a stream that is cut by a process that was held up, although its next event has arrived.
+TEST_CASE("a stream whose next event waits to be read is not cut", "[core][idle]") {
+  Fixture fixture(healthy_reader, begin_stream);
+  auto client = fixture.post("a1", "command");
+  REQUIRE(fixture.until([&] { return client->body.find("one") != std::string::npos; }));
+  fixture.advance(kClientWait - 2 * kHoldUp);
+  FakeEndpoint& writer = fixture.writer(fixture.writer(0).pending_clients.empty() ? 1 : 0);
+  writer.server.write_events(writer.pending_clients.back(), "data: two\n\n");
+  fixture.now += 2 * kHoldUp;
+  fixture.timers.run(fixture.now);  // the timers run before anything is read
+  fixture.settle();
+  CHECK(client->body.find("two") != std::string::npos);
+  CHECK_FALSE(client->is_closed);
+  fixture.advance(kClientWait);  // the endpoint is silent
+  CHECK(client->is_closed);
+}
+
 }  // namespace
 }  // namespace dispatcher::testing
