Of a VRRP pair, the chat listener is handed over only as its process leaves the pair

Cause: the successor got the listening socket when it connected and kept it, without accepting, until it was active itself. The kernel completes connections of a socket that any process has, so those that it shared out to this one waited for good. Change: the socket goes with the message that the predecessor has left the group, and the successor accepts from it at once. No process keeps a listener that it does not accept from. The same held for a killed predecessor, a successor without a chat front, an instance that joins a pair, and a predecessor of the previous release, which still hands the socket over early. Why it works: a listener exists only in processes that accept from it, so nothing is left when one of them yields or ends.

--- a/src/daemon/chat_address.cpp
+++ b/src/daemon/chat_address.cpp
@@ -27,12 +27,14 @@
     throw ConfigError("vrrp: field 'listen': set, but the chat front that it is for is off");
 }
 
+// A process that keeps a listening socket must accept from it: the kernel completes the connections of its
+// clients, who would wait for an answer. Of a pair, the predecessor therefore hands it over only as it
+// leaves.
 void ChatAddress::serve(net::UniqueFd listening_socket) {
-  listening_socket_ = std::move(listening_socket);
   if (vrrp_config_) {
     if (!components_.hot_restart_peer.has_predecessor()) join_pair(vrrp::StartMode::kNormal);
   } else if (components_.chat_frontend) {
-    components_.chat_frontend->server().open(std::move(listening_socket_));
+    components_.chat_frontend->server().open(std::move(listening_socket));
   }
   is_serving_ = true;
 }
@@ -59,16 +61,36 @@
 
 void ChatAddress::leave_pair() {
   has_left_ = true;
-  if (!vrrp_) return;
-  if (!components_.hot_restart_peer.is_successor_serving()) return vrrp_->stop();
-  const bool was_active = vrrp_->state() == vrrp::State::kActive;
-  vrrp_->hand_over();
+  const bool has_listener = is_paired() && components_.chat_frontend->server().is_open();
+  if (!vrrp_ && !has_listener) return;
+  if (!components_.hot_restart_peer.is_successor_serving()) {
+    if (vrrp_) vrrp_->stop();
+    return;
+  }
+  // A process that has taken the listener over may still wait for the VRRP address.
+  const bool was_active = vrrp_ ? vrrp_->state() == vrrp::State::kActive : has_listener;
+  if (vrrp_) vrrp_->hand_over();
   is_active_ = false;
+  std::optional<int> listening_socket;
+  if (was_active && has_listener) listening_socket = components_.chat_frontend->server().listening_socket();
   using hot_restart::VrrpRole;
-  components_.hot_restart_peer.notify_vrrp_left(was_active ? VrrpRole::kActive : VrrpRole::kBackup);
+  components_.hot_restart_peer.notify_vrrp_left(was_active ? VrrpRole::kActive : VrrpRole::kBackup,
+                                                listening_socket);
+}
+
+// The listener opens before VRRP starts, which may have to wait for the address: its clients must not.
+void ChatAddress::take_over(hot_restart::VrrpRole role, net::UniqueFd listening_socket) {
+  if (!vrrp_config_) return;
+  if (has_left_) {
+    const std::optional<int> socket = listening_socket ? std::optional(listening_socket.get()) : std::nullopt;
+    return components_.hot_restart_peer.notify_vrrp_left(role, socket);
+  }
+  if (vrrp_) return;
+  const bool was_active = role == hot_restart::VrrpRole::kActive;
+  if (was_active) open_listener(std::move(listening_socket));
+  join_pair(was_active ? vrrp::StartMode::kResumeActive : vrrp::StartMode::kNormal);
 }
 
-// Retries until the shared address is free, since the other instance may not have closed its listener yet.
 void ChatAddress::set_active(bool is_active) {
   http::Server& server = components_.chat_frontend->server();
   is_active_ = is_active && !has_left_;
@@ -77,13 +99,20 @@
     server.close_idle();
     return;
   }
+  open_listener({});
+}
+
+// Retries until the shared address is free, since the other instance may not have closed its listener yet.
+void ChatAddress::open_listener(net::UniqueFd listening_socket) {
+  http::Server& server = components_.chat_frontend->server();
+  if (server.is_open()) return;
   try {
-    server.open(std::move(listening_socket_));
+    server.open(std::move(listening_socket));
     components_.log("chat front on " + to_text(server.local()));
   } catch (const std::exception& error) {
     components_.log(std::string("chat frontend can't listen yet: ") + error.what());
     components_.loop.timers().add(components_.loop.now() + kRetryInterval, [this] {
-      if (is_active_) set_active(true);
+      if (is_active_) open_listener({});
     });
   }
 }
--- a/src/daemon/chat_address.hpp
+++ b/src/daemon/chat_address.hpp
@@ -22,12 +22,16 @@
   ChatAddress& operator=(const ChatAddress&) = delete;
 
   // Must be called when the process begins to serve. `listening_socket` is the one that the predecessor
-  // handed over, if any. Throws boost::system::system_error if an address can't be bound.
+  // handed over, if any; it is closed unless this process begins to accept from it. Throws
+  // boost::system::system_error if an address can't be bound.
   void serve(net::UniqueFd listening_socket);
   [[nodiscard]] bool is_paired() const { return vrrp_config_.has_value(); }
   // Joins the pair, if there is one and this process has not joined or left it yet. After serve() has
   // returned, a failure to bind the VRRP address is logged and the call is retried until it succeeds.
   void join_pair(vrrp::StartMode mode);
+  // Continues in the predecessor's role of the pair. `listening_socket` is the one that it listened with, if
+  // it was active. A process that has left the pair already passes both on to its own successor.
+  void take_over(hot_restart::VrrpRole role, net::UniqueFd listening_socket);
   // Leaves the pair. Must be called when the process shuts down, so that its successor or, without one, the
   // other instance of the pair takes over at once.
   void leave_pair();
@@ -35,11 +39,11 @@
  private:
   void start_vrrp();
   void set_active(bool is_active);
+  void open_listener(net::UniqueFd listening_socket);
 
   Components& components_;
   std::optional<vrrp::Config> vrrp_config_;
   std::optional<vrrp::VrrpInstance> vrrp_;
-  net::UniqueFd listening_socket_;  // handed over by the predecessor; held until the listener opens
   bool is_serving_ = false;
   bool is_active_ = false;  // this instance is the one of the pair that should listen at the chat address
   bool has_left_ = false;
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -130,7 +130,7 @@
   std::map<std::string, int> sockets;
   http::Server& platform = components_.platform_frontend.server();
   if (platform.is_open()) sockets[kPlatformListener] = platform.listening_socket();
-  if (components_.chat_frontend && components_.chat_frontend->server().is_open())
+  if (components_.chat_frontend && !chat_address_.is_paired())
     sockets[kChatListener] = components_.chat_frontend->server().listening_socket();
   return sockets;
 }
@@ -140,10 +140,8 @@
   stream_handover_.adopt(stream, std::move(client_socket), std::move(upstream_socket));
 }
 
-void Dispatcher::on_vrrp_left(hot_restart::VrrpRole role) {
-  if (!is_serving_) return;
-  const bool was_active = role == hot_restart::VrrpRole::kActive;
-  chat_address_.join_pair(was_active ? vrrp::StartMode::kResumeActive : vrrp::StartMode::kNormal);
+void Dispatcher::on_vrrp_left(hot_restart::VrrpRole role, net::UniqueFd listening_socket) {
+  if (is_serving_) chat_address_.take_over(role, std::move(listening_socket));
 }
 
 void Dispatcher::on_peers_changed() {
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -67,7 +67,8 @@
 // The role of a dispatcher in its VRRP group: the active router or a backup.
 enum class VrrpRole { kActive, kBackup };
 
-// Sent by the predecessor when it has left the VRRP group, with the role that it had.
+// Sent by the predecessor when it has left the VRRP group, with the role that it had. If it was the active
+// router, the descriptor of the socket that listens at the shared address is attached.
 struct VrrpLeft {
   VrrpRole role = VrrpRole::kBackup;
 };
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -140,8 +140,10 @@
   log_("upgrade: can't continue a stream: " + message.problem);
 }
 
-void HotRestartPeer::handle(const VrrpLeft& message, Descriptors& /*descriptors*/) {
-  owner_.on_vrrp_left(message.role);
+void HotRestartPeer::handle(const VrrpLeft& message, Descriptors& descriptors) {
+  net::UniqueFd listening_socket;
+  if (!descriptors.empty()) listening_socket = std::move(descriptors.front());
+  owner_.on_vrrp_left(message.role, std::move(listening_socket));
 }
 
 void HotRestartPeer::on_channel_closed(Connection& connection, ChannelEnd end) {
@@ -179,8 +181,11 @@
   broadcast(encode(AdministrativeStateChanged{endpoint, state}));
 }
 
-void HotRestartPeer::notify_vrrp_left(VrrpRole role) {
-  if (successor_.channel != nullptr) successor_.channel->send(encode(VrrpLeft{role}));
+void HotRestartPeer::notify_vrrp_left(VrrpRole role, std::optional<int> listening_socket) {
+  if (successor_.channel == nullptr) return;
+  const Json message = encode(VrrpLeft{role});
+  const bool is_sent = listening_socket && successor_.channel->send(message, {*listening_socket});
+  if (!is_sent) successor_.channel->send(message);  // the successor then opens a socket of its own
 }
 
 bool HotRestartPeer::transfer_stream(const StreamTransfer& stream, int client, int upstream) {
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,8 +66,9 @@
     // Called when there are no descriptors for the sockets of a stream. Closes one that this process can
     // spare. Returns false if there is none: the stream is then received later.
     virtual bool reclaim_descriptor() = 0;
-    // Called when the predecessor has left the VRRP group, in which it had this role.
-    virtual void on_vrrp_left(VrrpRole role) = 0;
+    // Called when the predecessor has left the VRRP group, in which it had this role. `listening_socket` is
+    // the one of the shared address; it is empty if the predecessor was a backup or sent none.
+    virtual void on_vrrp_left(VrrpRole role, net::UniqueFd listening_socket) = 0;
     // Called when a predecessor or successor has connected, begun to serve or disconnected.
     virtual void on_peers_changed() = 0;
   };
@@ -98,8 +100,9 @@
   [[nodiscard]] bool leave_predecessor();
   // Notifies the other processes that an operator drained an endpoint or returned it to service.
   void notify_administrative_state(const routing::EndpointId& endpoint, routing::AdministrativeState state);
-  // Notifies the successor that this process has left the VRRP group, so that the successor may join it.
-  void notify_vrrp_left(VrrpRole role);
+  // Notifies the successor that this process has left the VRRP group, so that the successor may join it, and
+  // sends it a copy of the socket that listens at the shared address, unless that is nullopt.
+  void notify_vrrp_left(VrrpRole role, std::optional<int> listening_socket = std::nullopt);
   // Hands a stream over to the successor. Returns whether the successor gets it. If not, the stream stays
   // with this process: the successor has ended, or can't receive it now. The caller keeps the sockets, and
   // copies are sent.
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -91,7 +91,8 @@
     events.emplace_back("stream");
   }
   bool reclaim_descriptor() override { return false; }
-  void on_vrrp_left(hot_restart::VrrpRole role) override {
+  void on_vrrp_left(hot_restart::VrrpRole role, net::UniqueFd listening_socket) override {
+    CHECK_FALSE(listening_socket);
     events.emplace_back(role == hot_restart::VrrpRole::kActive ? "vrrp active" : "vrrp backup");
   }
   void on_peers_changed() override { events.emplace_back("peers changed"); }
