Both fronts share the clients' connections; a full process refuses what it can't serve

Cause: each front had a fixed half of the clients' connections. At that limit, with all clients being answered, accepting pauses, and what the kernel has accepted waits unread. Change: http::ClientCapacity has the connections and the memory of bodies of all fronts. Each may use what the others leave; an eighth of the answers is reserved for each. An eighth of the connections is kept for clients that are owed no answer: a request beyond the limit is read and answered 503 with Retry-After. Why it works: what is unused no longer counts against the front that needs it, and there is always a connection to read a request that can't be served.

--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -46,6 +46,8 @@
       replica_client(loop.io(), loop.timers(), loop.clock(), log,
                      upstream_options(config, ProcessCount::kOne)),
       engine(settings, config.seed, replica_client, loop.timers(), loop.clock(), log),
+      client_capacity(
+          std::make_shared<http::ClientCapacity>(client_limits(config, ProcessCount::kOne))),
       platform_frontend(frontend_context(), config.listen, settings),
       endpoint_watcher(
           loop.io(), config.discovery, loop.timers(), loop.clock(), log, callbacks.on_endpoints,
@@ -64,12 +66,9 @@
 }
 
 http::FrontendContext Components::frontend_context() {
-  return {loop.io(),
-          engine,
-          loop.timers(),
-          loop.clock(),
-          server_options(config, frontend_count(), ProcessCount::kOne),
-          descriptor_reclaimer()};
+  http::ServerOptions options;
+  options.shared_capacity = client_capacity;
+  return {loop.io(), engine, loop.timers(), loop.clock(), options, descriptor_reclaimer()};
 }
 
 // When descriptors run short, an idle connection to an endpoint is closed to make room for a new connection.
@@ -114,9 +113,7 @@
 void Components::apply_resource_limits() {
   apply_rate_limit_share();
   replica_client.apply_options(upstream_options(config, processes()));
-  const http::ServerOptions options = server_options(config, frontend_count(), processes());
-  for (http::Server* server : client_servers())
-    server->set_limits(options.max_clients, options.max_body_bytes);
+  client_capacity->set_limits(client_limits(config, processes()));
 }
 
 // Two processes of one dispatcher count as two instances, each of which enforces half of the dispatcher's
--- a/src/daemon/components.hpp
+++ b/src/daemon/components.hpp
@@ -63,13 +63,14 @@
   Config config;
   engine::Log log;
   engine::SettingsSnapshot settings;
-  std::optional<openai_api::Config> chat_config;  // declared before the frontends, whose limits depend on it
+  std::optional<openai_api::Config> chat_config;
   std::shared_ptr<const rate_limit::RuleSet> initial_rules;  // parsed before anything is opened
   rate_limit::RateLimiter rate_limiter;
   std::mt19937_64 random;  // spreads the retries of requests that a degradation level sheds
   degradation::DegradationController degradation_controller;
   upstream::ReplicaClient replica_client;
   engine::Engine engine;
+  std::shared_ptr<http::ClientCapacity> client_capacity;  // of both frontends
   platform_api::Frontend platform_frontend;
   std::optional<openai_api::Frontend> chat_frontend;  // nullopt if the configuration names no address for it
   std::optional<admin::AdminServer> admin_server;     // nullopt if the configuration names no address for it
@@ -80,8 +81,6 @@
 
  private:
   [[nodiscard]] ProcessCount processes() const;
-  // Number of client frontends of this process: the platform's, and the chat frontend if it is on.
-  [[nodiscard]] std::size_t frontend_count() const { return chat_config ? 2 : 1; }
   [[nodiscard]] http::FrontendContext frontend_context();
   [[nodiscard]] http::DescriptorReclaimer descriptor_reclaimer();
   void attach_admission(http::Frontend& frontend);
--- a/src/daemon/resource_limits.cpp
+++ b/src/daemon/resource_limits.cpp
@@ -22,6 +22,8 @@
 // Percentages of the descriptors that are left for connections: those to endpoints and those from clients.
 constexpr std::size_t kEndpointPercent = 46;
 constexpr std::size_t kClientPercent = 54;
+// Maximum number of connections from clients of a process, however many descriptors there are.
+constexpr std::size_t kMaxClients = 500;
 constexpr std::size_t kBytesPerMegabyte = std::size_t{1024} * 1024;
 // The part of the configured memory that request bodies may use is one divided by this. A body is in memory
 // up to three times: as received, kept for a retry, and in the send buffer.
@@ -66,12 +68,10 @@
   return options;
 }
 
-http::ServerOptions server_options(const Config& config, std::size_t frontends, ProcessCount processes) {
-  http::ServerOptions options;
+http::ClientLimits client_limits(const Config& config, ProcessCount processes) {
   const std::size_t descriptors = connection_descriptors(config, processes) * kClientPercent / 100;
-  options.max_clients = std::min<std::size_t>(options.max_clients, descriptors) / frontends;
-  options.max_body_bytes = config.max_memory_mb * kBytesPerMegabyte / kBodyMemoryDivisor / frontends;
-  return options;
+  return http::ClientLimits::of(std::min(kMaxClients, descriptors),
+                                config.max_memory_mb * kBytesPerMegabyte / kBodyMemoryDivisor);
 }
 
 }  // namespace dispatcher::daemon
--- a/src/daemon/resource_limits.hpp
+++ b/src/daemon/resource_limits.hpp
@@ -6,7 +6,7 @@
 #include <cstddef>
 
 #include "daemon/config.hpp"
-#include "http/server.hpp"
+#include "http/client_capacity.hpp"
 #include "upstream/replica_client.hpp"
 
 namespace dispatcher::daemon {
@@ -21,10 +21,8 @@
 
 // Returns the limits and timeouts of the connections to endpoints.
 [[nodiscard]] upstream::Options upstream_options(const Config& config, ProcessCount processes);
-// Returns the limits of one client frontend. `frontends` is the number of client frontends of this process,
-// which share its limits equally.
-[[nodiscard]] http::ServerOptions server_options(const Config& config, std::size_t frontends,
-                                                 ProcessCount processes);
+// Returns the limits of all client frontends of a process together.
+[[nodiscard]] http::ClientLimits client_limits(const Config& config, ProcessCount processes);
 
 }  // namespace dispatcher::daemon
 
--- a/src/http/client_acceptor.hpp
+++ b/src/http/client_acceptor.hpp
@@ -1,12 +1,14 @@
-// Accepts a server's clients and limits how many are connected at once.
+// Accepts a server's clients, as far as there are connections for them.
 #ifndef DISPATCHER_HTTP_CLIENT_ACCEPTOR_HPP_
 #define DISPATCHER_HTTP_CLIENT_ACCEPTOR_HPP_
 
 #include <boost/asio/io_context.hpp>
 #include <cstddef>
 #include <functional>
+#include <optional>
 
 #include "engine/timer_queue.hpp"
+#include "http/client_capacity.hpp"
 #include "http/client_table.hpp"
 #include "net/listener.hpp"
 
@@ -15,10 +17,10 @@
 /// Frees a file descriptor elsewhere in the process. Returns false if there was none to free.
 using DescriptorReclaimer = std::function<bool()>;
 
-/// Listens on one address and enforces the limit on connected clients: at the limit it evicts the clients of
-/// least value or leaves further ones in the kernel's backlog. Embedded in the server that owns the client
-/// table; used on its event loop only.
-class ClientAcceptor : private net::Listener::Owner {
+/// Listens on one address. Where the process runs out of connections, it has clients of least value evicted
+/// or leaves further ones in the kernel's backlog. Embedded in the server that owns the client table; used on
+/// its event loop only.
+class ClientAcceptor : private net::Listener::Owner, private ClientCapacity::Server {
  public:
   /// Receives clients. Called from the event loop or from inside a call to the acceptor.
   class Owner {
@@ -30,11 +32,14 @@
     virtual void begin_lingering_close(SlotId id, CloseReason reason) = 0;
   };
 
-  /// `max_clients` is the maximum number of open connections. `reclaim_descriptor` may be empty; it is called
-  /// when accepting fails and no client can be evicted. The references must outlive the acceptor.
+  /// `capacity` limits the open connections of this server and others. `reclaim_descriptor` may be empty; it
+  /// is called when accepting fails and no client can be evicted. The references must outlive the acceptor.
   ClientAcceptor(boost::asio::io_context& io, const net::tcp::endpoint& address, ClientTable& clients,
-                 engine::TimerQueue& timers, engine::Clock clock, std::size_t max_clients,
+                 ClientCapacity& capacity, engine::TimerQueue& timers, engine::Clock clock,
                  DescriptorReclaimer reclaim_descriptor, Owner& owner);
+  ~ClientAcceptor() override { capacity_.remove(*this); }
+  ClientAcceptor(const ClientAcceptor&) = delete;
+  ClientAcceptor& operator=(const ClientAcceptor&) = delete;
 
   /// Starts to listen and accept. Uses `listening_socket` if that is bound to this address, and a new socket
   /// otherwise. Throws boost::system::system_error if the address can't be bound. May be called after stop().
@@ -42,15 +47,15 @@
   /// Accepts the connections in the kernel's backlog, which would be reset otherwise, and closes the
   /// listening socket.
   void stop();
-  /// Changes the maximum and evicts clients above it as far as possible.
-  void set_max_clients(std::size_t max_clients);
 
-  /// Closes a client's connection at once and removes the client. Resumes accepting if the limit had paused
-  /// it.
+  /// Closes a client's connection at once and removes the client. Clients that had to wait for a connection
+  /// may be accepted then.
   void remove(SlotId id, CloseReason reason);
-  /// Must be called when a client's connection becomes idle: at the limit it may be evicted in favor of
-  /// clients that wait in the backlog.
+  /// Must be called when a client's connection becomes idle: it may be evicted in favor of clients that wait
+  /// in the backlog.
   void on_client_idle();
+  /// Returns whether a request that has arrived may be answered by the handler; see ClientCapacity.
+  [[nodiscard]] bool may_answer() const { return capacity_.may_answer(*this); }
 
   [[nodiscard]] bool is_open() const { return listener_.is_open(); }
   /// Returns the listening address, with the port that the kernel chose if none was configured.
@@ -59,16 +64,25 @@
   [[nodiscard]] int native_handle() { return listener_.native_handle(); }
 
  private:
+  // net::Listener::Owner
   void on_accepted(net::tcp::socket socket) override;
   void on_accept_failed(net::error_code error) override;
-
-  void enforce_limit(SlotId newcomer);
-  bool evict_client(SlotId newcomer);
+  // ClientCapacity::Server
+  [[nodiscard]] std::size_t client_count() const override { return clients_.size(); }
+  [[nodiscard]] std::size_t answering_count() const override { return clients_.answering_count(); }
+  [[nodiscard]] std::optional<EvictionCandidate> eviction_candidate(SlotId newcomer) override {
+    return clients_.find_eviction_candidate(newcomer);
+  }
+  void evict(SlotId client) override { remove(client, CloseReason::kEvicted); }
+  void close_gracefully(SlotId client) override {
+    owner_.begin_lingering_close(client, CloseReason::kEvicted);
+  }
+  void resume_accepting() override;
 
   ClientTable& clients_;
+  ClientCapacity& capacity_;
   engine::TimerQueue& timers_;
   engine::Clock clock_;
-  std::size_t max_clients_;
   DescriptorReclaimer reclaim_descriptor_;
   Owner& owner_;
   net::Listener listener_;
--- a/src/http/client_table.cpp
+++ b/src/http/client_table.cpp
@@ -12,15 +12,9 @@
 constexpr Duration kRequestGrace = std::chrono::milliseconds(250);
 }  // namespace
 
-// In ascending order of the loss that closing the connection would cause.
-enum class ClientTable::RetentionValue { kLingering, kSilent, kIdle, kPartialRequest, kRecent };
-
-ClientTable::ClientTable(engine::TimerQueue& timers, engine::Clock clock, std::size_t max_body_bytes,
+ClientTable::ClientTable(engine::TimerQueue& timers, engine::Clock clock, ClientCapacity& capacity,
                          DeadlineHandler on_deadline)
-    : timers_(timers),
-      clock_(std::move(clock)),
-      max_body_bytes_(max_body_bytes),
-      on_deadline_(std::move(on_deadline)) {}
+    : timers_(timers), clock_(std::move(clock)), capacity_(capacity), on_deadline_(std::move(on_deadline)) {}
 
 SlotId ClientTable::add(std::shared_ptr<net::Connection> connection) {
   const SlotId id = clients_.emplace();
@@ -62,43 +56,41 @@
 }
 
 bool ClientTable::reserve_body_bytes(Client& client, std::size_t bytes) {
-  reserved_body_bytes_ += bytes - client.reserved_body_bytes;
-  client.reserved_body_bytes = bytes;
-  return bytes == 0 || reserved_body_bytes_ <= max_body_bytes_;
+  return capacity_.reserve_body_bytes(client.reserved_body_bytes, bytes);
 }
 
 void ClientTable::release_body_bytes(Client& client) {
-  reserved_body_bytes_ -= std::exchange(client.reserved_body_bytes, 0);
+  static_cast<void>(capacity_.reserve_body_bytes(client.reserved_body_bytes, 0));
 }
 
 bool ClientTable::is_recent(const Client& client) const {
   return clock_() < client.state_since + kRequestGrace;
 }
 
-ClientTable::RetentionValue ClientTable::retention_value(const Client& client) const {
+RetentionValue ClientTable::retention_value(const Client& client) const {
   if (client.state == ClientState::kLingering) return RetentionValue::kLingering;
   if (client.has_received_data && !client.reader.has_started()) return RetentionValue::kIdle;
   if (is_recent(client)) return RetentionValue::kRecent;
   return client.has_received_data ? RetentionValue::kPartialRequest : RetentionValue::kSilent;
 }
 
-bool ClientTable::is_dispensable(const Client& client) const {
-  return client.state == ClientState::kReading && retention_value(client) <= RetentionValue::kIdle;
+std::size_t ClientTable::answering_count() const {
+  return clients_.count_if([](const Client& client) { return client.state == ClientState::kAnswering; });
 }
 
-SlotId ClientTable::find_eviction_candidate(SlotId newcomer) {
-  SlotId candidate;
-  std::optional<std::pair<RetentionValue, Time>> min_rank;
+std::optional<EvictionCandidate> ClientTable::find_eviction_candidate(SlotId newcomer) {
+  std::optional<EvictionCandidate> candidate;
   for (const SlotId id : clients_.ids()) {
     const Client& client = *clients_.find(id);
     if (id == newcomer || client.state == ClientState::kAnswering) continue;
     if (!client.connection->output().empty()) continue;
-    const std::pair rank{retention_value(client), client.state_since};
-    if (min_rank && rank >= *min_rank) continue;
+    const RetentionValue value = retention_value(client);
+    if (candidate && std::pair(value, client.state_since) >= std::pair(candidate->value, candidate->since))
+      continue;
     const bool is_reading = client.state == ClientState::kReading;
     if (is_reading && (client.connection->is_readable() || client.has_waiting_request())) continue;
-    candidate = id;
-    min_rank = rank;
+    const bool is_dispensable = is_reading && value <= RetentionValue::kIdle;
+    candidate = EvictionCandidate{id, value, client.state_since, is_dispensable};
   }
   return candidate;
 }
--- a/src/http/client_table.hpp
+++ b/src/http/client_table.hpp
@@ -4,11 +4,13 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "engine/interfaces.hpp"
 #include "engine/timer_queue.hpp"
 #include "http/arrival_times.hpp"
+#include "http/client_capacity.hpp"
 #include "http/close_reason.hpp"
 #include "http/message.hpp"
 #include "http/message_reader.hpp"
@@ -83,8 +85,9 @@
   /// Called when a client's deadline has passed. The deadline is no longer set by then.
   using DeadlineHandler = std::function<void(SlotId, Client&)>;
 
-  /// `max_body_bytes` limits what reserve_body_bytes() grants. `on_deadline` is called from the timer queue.
-  ClientTable(engine::TimerQueue& timers, engine::Clock clock, std::size_t max_body_bytes,
+  /// `capacity` limits what reserve_body_bytes() grants, and must outlive the table. `on_deadline` is called
+  /// from the timer queue.
+  ClientTable(engine::TimerQueue& timers, engine::Clock clock, ClientCapacity& capacity,
               DeadlineHandler on_deadline);
 
   /// Adds a client without a deadline. Returns its handle, which is never reused for another client.
@@ -112,33 +115,28 @@
   [[nodiscard]] bool reserve_body_bytes(Client& client, std::size_t bytes);
   /// Releases the client's reservation.
   void release_body_bytes(Client& client);
-  /// Changes the limit for later reservations.
-  void set_max_body_bytes(std::size_t max_body_bytes) { max_body_bytes_ = max_body_bytes; }
 
   /// Returns the client whose connection is of least value and is closed first when connections run out.
-  /// Returns a null handle if no client may be evicted.
+  /// Returns nullopt if no client may be evicted.
   ///
   /// Clients are evicted in this order, and within each group the one longest in its state first: connections
   /// in a lingering close, connections that have sent nothing, idle ones, those with part of a request, and
   /// those so recent that a request may be on its way. Hundreds of clients that are silent or never finish a
   /// request thus can't keep others out. Never chosen are `newcomer`, clients that are owed an answer or
   /// still have output, and those with unread input.
-  [[nodiscard]] SlotId find_eviction_candidate(SlotId newcomer);
-  /// Whether the client's connection may be closed in an orderly way before connections run out, because it
-  /// is idle or has not sent anything.
-  [[nodiscard]] bool is_dispensable(const Client& client) const;
+  [[nodiscard]] std::optional<EvictionCandidate> find_eviction_candidate(SlotId newcomer);
+  /// Returns the number of clients that are owed an answer or the rest of one.
+  [[nodiscard]] std::size_t answering_count() const;
   /// Whether the client entered its state so recently that its request may still be on its way.
   [[nodiscard]] bool is_recent(const Client& client) const;
 
  private:
-  enum class RetentionValue;
   [[nodiscard]] RetentionValue retention_value(const Client& client) const;
 
   engine::TimerQueue& timers_;
   engine::Clock clock_;
+  ClientCapacity& capacity_;
   net::SlotTable<Client> clients_;
-  std::size_t max_body_bytes_;
-  std::size_t reserved_body_bytes_ = 0;  // sum over all clients
   DeadlineHandler on_deadline_;
   engine::Log log_;
 };
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -20,8 +20,18 @@
 // Maximum bytes that are read and discarded after a client's last request. TCP flow control holds back the
 // rest.
 constexpr std::size_t kMaxDiscardedBytes = kMaxBodyBytes;
+constexpr int kServiceUnavailable = 503;  // RFC 9110, section 15.6.4
 // The error message for a request that exceeds ServerOptions::max_body_bytes.
 constexpr std::string_view kBodyMemoryExhausted = "too much is being sent at once";
+// The error message for a request beyond ClientLimits::max_answers.
+constexpr std::string_view kTooManyRequests = "too many requests are in progress";
+// Time in seconds after which a client may retry a request that such a limit has rejected.
+constexpr std::string_view kRetryAfterSeconds = "1";
+
+std::shared_ptr<ClientCapacity> capacity_for(const ServerOptions& options) {
+  if (options.shared_capacity) return options.shared_capacity;
+  return std::make_shared<ClientCapacity>(ClientLimits::of(options.max_clients, options.max_body_bytes));
+}
 
 }  // namespace
 
@@ -33,10 +43,9 @@
       timers_(timers),
       clock_(std::move(clock)),
       options_(options),
-      clients_(timers, clock_, options.max_body_bytes,
-               [this](SlotId id, Client& client) { on_deadline(id, client); }),
-      acceptor_(io, address, clients_, timers, clock_, options.max_clients, std::move(reclaim_descriptor),
-                *this) {}
+      capacity_(capacity_for(options)),
+      clients_(timers, clock_, *capacity_, [this](SlotId id, Client& client) { on_deadline(id, client); }),
+      acceptor_(io, address, clients_, *capacity_, timers, clock_, std::move(reclaim_descriptor), *this) {}
 
 // ---- connections ----
 
@@ -56,11 +65,6 @@
   return id;
 }
 
-void Server::set_limits(std::size_t max_clients, std::size_t max_body_bytes) {
-  clients_.set_max_body_bytes(max_body_bytes);
-  acceptor_.set_max_clients(max_clients);
-}
-
 void Server::on_deadline(SlotId id, Client& client) {
   if (client.state == ClientState::kAnswering) return disconnect_client(id, CloseReason::kWriteTimeout);
   if (client.state == ClientState::kLingering) return acceptor_.remove(id, CloseReason::kLastResponse);
@@ -145,13 +149,15 @@
   client.arrival_times.update(client.connection->input().size(), clock_());
   if (const auto rejection = check_request(reader, status)) return reject(id, client, *rejection);
   if (!clients_.reserve_body_bytes(client, reader.message().body().size()))
-    return reject(id, client, {503, std::string(kBodyMemoryExhausted)}, {{"Retry-After", "1"}});
+    return reject(id, client, {kServiceUnavailable, std::string(kBodyMemoryExhausted)},
+                  {{"Retry-After", std::string(kRetryAfterSeconds)}});
   if (status == ReadStatus::kNeedMore) return send_continue_if_expected(client);
   deliver_request(id, client);
 }
 
 void Server::deliver_request(SlotId id, Client& client) {
   RequestReader& reader = client.reader;
+  const bool may_answer = acceptor_.may_answer();
   client.state = ClientState::kAnswering;
   // The answer to a HEAD request must not have a body, but answers are always sent with theirs. Closing the
   // connection afterwards keeps the client from reading the body as the next answer.
@@ -161,9 +167,17 @@
   const bool understands_chunks = reader.message().version() >= kHttp11;
   client.framing = understands_chunks ? StreamFraming::kChunked : StreamFraming::kUntilClose;
   clients_.cancel_deadline(client);
+  if (!may_answer) return reject_busy(id, client);
   handler_.on_request(id, reader.message(), client.request_arrival);
 }
 
+// The connection is closed, so that it can be used for another client, unless further requests wait behind.
+void Server::reject_busy(SlotId id, Client& client) {
+  client.keep_alive = client.keep_alive && client.has_waiting_request();
+  respond_error(id, kServiceUnavailable, kTooManyRequests,
+                {{"Retry-After", std::string(kRetryAfterSeconds)}});
+}
+
 void Server::send_continue_if_expected(Client& client) {
   if (!client.reader.is_head_complete() || std::exchange(client.has_checked_expect, true)) return;
   if (expects_continue(client.reader)) client.connection->write("HTTP/1.1 100 Continue\r\n\r\n");
--- a/src/http/server.hpp
+++ b/src/http/server.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/io_context.hpp>
 #include <chrono>
 #include <initializer_list>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -21,6 +22,9 @@
 
 /// Limits and timeouts of a server.
 struct ServerOptions {
+  /// The limits on connections and memory, where the server shares them with others. Null: the server has
+  /// the following ones for itself.
+  std::shared_ptr<ClientCapacity> shared_capacity = {};
   /// Maximum number of open connections.
   std::size_t max_clients = 500;
   /// Maximum bytes of request bodies in memory, summed over all clients. A body counts until its stream
@@ -111,8 +115,8 @@
   void drain() { is_draining_ = true; }
   /// Starts a lingering close of each connection that carries no request.
   void close_idle();
-  /// Changes the limits. Clients above the new maximum are evicted as far as possible.
-  void set_limits(std::size_t max_clients, std::size_t max_body_bytes);
+  /// Returns the limits on connections and memory, which other servers may share.
+  [[nodiscard]] ClientCapacity& capacity() { return *capacity_; }
 
   // ---- migration of a stream to another process ----
 
@@ -160,6 +164,7 @@
   void reject(SlotId id, Client& client, const RequestRejection& rejection,
               std::initializer_list<Header> extra_headers = {});
   void deliver_request(SlotId id, Client& client);
+  void reject_busy(SlotId id, Client& client);
   [[nodiscard]] bool may_continue(const Client& client) const;
   void await_next_request(SlotId id, Client& client);
 
@@ -171,6 +176,7 @@
   engine::TimerQueue& timers_;
   engine::Clock clock_;
   ServerOptions options_;
+  std::shared_ptr<ClientCapacity> capacity_;
   ClientTable clients_;
   ClientAcceptor acceptor_;
   bool is_draining_ = false;
--- a/src/net/slot_table.hpp
+++ b/src/net/slot_table.hpp
@@ -62,6 +62,14 @@
   /// Returns the number of entries.
   [[nodiscard]] std::size_t size() const { return size_; }
 
+  /// Returns the number of entries for which the predicate holds.
+  template <class Predicate>
+  [[nodiscard]] std::size_t count_if(Predicate predicate) const {
+    std::size_t count = 0;
+    for (const Slot& slot : slots_) count += slot.value && predicate(*slot.value) ? 1 : 0;
+    return count;
+  }
+
   /// Returns the handles of all entries in the order of their slots. The caller may erase entries while it
   /// iterates the result.
   [[nodiscard]] std::vector<SlotId> ids() const {
--- a/tests/http/endings_test.cpp
+++ b/tests/http/endings_test.cpp
@@ -147,7 +147,7 @@
     FakeClient newcomer(loop, holder.server.local());
     loop.settle();
     REQUIRE(holder.server.client_count() == 2);
-    holder.server.set_limits(1, http::ServerOptions{}.max_body_bytes);
+    holder.server.capacity().set_limits(http::ClientLimits::of(1, http::ServerOptions{}.max_body_bytes));
   }
   CHECK(loop.until([&] { return client.body == "okok"; }));
 }
