The time for which a stream is silent counts on through hot restarts

Cause: the message that hands a stream over did not say since when its next event is awaited; the successor started the idle time-out anew, at each restart. Change: the time goes with the stream, by the monotonic clock of the machine, as a message may wait in its socket and each process reads the system clock at its own start. An unset member is not sent, so that older messages are as they were. Why it works: the time-out runs from the last event, wherever the stream is; events that arrived meanwhile are read first.

The digest of the engine's calls is recorded anew, as it covers streams that are handed over.

--- a/src/daemon/loop.hpp
+++ b/src/daemon/loop.hpp
@@ -17,14 +17,22 @@
   Loop() : timer_(io_), unix_offset_(system_now() - steady_now()) {
     timers_.set_earlier_deadline_callback([this] { arm(); });
   }
-  // Uses the caller's clock, for tests in virtual time. The caller also runs the timer queue by that clock.
-  explicit Loop(engine::Clock clock) : timer_(io_), clock_(std::move(clock)) {}
+  // Uses the caller's clock, for tests in virtual time. The caller also runs the timer queue by that clock,
+  // which is `clock_offset` ahead of the monotonic one.
+  explicit Loop(engine::Clock clock, engine::Duration clock_offset = {})
+      : timer_(io_), unix_offset_(clock_offset), clock_(std::move(clock)) {}
   boost::asio::io_context& io() { return io_; }
   engine::TimerQueue& timers() { return timers_; }
   // Returns the time of a steady clock that counts from the Unix epoch, since service discovery reports start
   // times in Unix time. The system clock is read only once, at construction, so that later adjustments of it
   // move no deadline.
   [[nodiscard]] engine::Time now() const { return clock_ ? clock_() : unix_offset_ + steady_now(); }
+  // now()'s clock minus the system's monotonic clock, and conversions between the two. All processes of the
+  // machine share the monotonic clock, whereas each reads the system clock when it starts: that may have been
+  // adjusted in between.
+  [[nodiscard]] engine::Duration clock_offset() const { return unix_offset_; }
+  [[nodiscard]] engine::Time to_monotonic(engine::Time time) const { return time - unix_offset_; }
+  [[nodiscard]] engine::Time from_monotonic(engine::Time time) const { return time + unix_offset_; }
   engine::Clock clock() {
     return [this] { return now(); };
   }
--- a/src/daemon/stream_handover.cpp
+++ b/src/daemon/stream_handover.cpp
@@ -52,7 +52,8 @@
   const upstream::SuspendedStream suspended = components_.replica_client.suspended_stream(attempt);
   const upstream::StreamState& state = suspended.state;
   const bool is_transferred = components_.hot_restart_peer.transfer_stream(
-      {stream.id, state.endpoint, state.unread, state.position.chunk_left, state.position.keep_alive},
+      {stream.id, state.endpoint, state.unread, state.position.chunk_left, state.position.keep_alive,
+       components_.loop.to_monotonic(stream.silent_since)},
       server.client_socket(stream.client), suspended.socket);
   if (!is_transferred) return false;
   components_.replica_client.detach_stream(attempt);
@@ -73,8 +74,11 @@
     const upstream::StreamState state{
         transfer.endpoint, transfer.unread, {transfer.chunk_left, transfer.keep_alive}};
     components_.engine.on_peer_request_progress(transfer.request_id, engine::RequestProgress::kCompleted);
-    const net::SlotId request =
-        components_.platform_frontend.adopt_stream(std::move(client), transfer.request_id, state.endpoint);
+    const engine::Time silent_since = transfer.silent_since
+                                          ? components_.loop.from_monotonic(*transfer.silent_since)
+                                          : components_.loop.now();
+    const net::SlotId request = components_.platform_frontend.adopt_stream(
+        std::move(client), {transfer.request_id, state.endpoint, silent_since});
     components_.replica_client.adopt_stream({request, 0}, std::move(endpoint), state);
   } catch (const std::exception& error) {
     components_.log(std::string("upgrade: can't continue a stream: ") + error.what());
--- a/src/engine/active_request.hpp
+++ b/src/engine/active_request.hpp
@@ -38,6 +38,7 @@
   std::optional<int> streaming_attempt;  ///< number of the attempt whose response is streamed to the client
   bool is_answered = false;              ///< the client has its final answer, or needs none any more
   bool is_paused = false;                ///< the response is not read, because the client's buffer is full
+  Time silent_since{};                   ///< of a stream: since when its next event is awaited
   bool has_timed_out = false;            ///< the attempt that ended last timed out
   ReservationTracker reservations;
   TimerId overdue_timer, idle_timer, release_timer;
--- a/src/engine/engine.cpp
+++ b/src/engine/engine.cpp
@@ -134,9 +134,8 @@
 
 void Engine::release_stream(SlotId slot) { handover_.release(slot); }
 
-SlotId Engine::adopt_stream(ResponseSink& sink, SlotId client, const RequestId& id,
-                            const EndpointId& endpoint) {
-  return handover_.adopt(sink, client, id, endpoint, settings_);
+SlotId Engine::adopt_stream(ResponseSink& sink, SlotId client, const AdoptedStream& stream) {
+  return handover_.adopt(sink, client, stream, settings_);
 }
 
 void Engine::on_peer_request_progress(const RequestId& id, RequestProgress progress) {
--- a/src/engine/engine.hpp
+++ b/src/engine/engine.hpp
@@ -89,8 +89,7 @@
   /// Ends a stream here that continues in the other process: this engine sends nothing more to its client.
   void release_stream(SlotId request);
   /// Continues a stream of the other process. Its attempt gets the number 0.
-  [[nodiscard]] SlotId adopt_stream(ResponseSink& sink, SlotId client, const RequestId& id,
-                                    const EndpointId& endpoint);
+  [[nodiscard]] SlotId adopt_stream(ResponseSink& sink, SlotId client, const AdoptedStream& stream);
   /// Called with what the other process reports about its own requests and attempts.
   void on_peer_request_progress(const RequestId& id, RequestProgress progress);
   void on_peer_attempt_started(const EndpointId& endpoint);
--- a/src/engine/interfaces.hpp
+++ b/src/engine/interfaces.hpp
@@ -209,6 +209,14 @@
   int attempt = 0;
   RequestId id;
   EndpointId endpoint;
+  Time silent_since{};  ///< since when the stream's next event is awaited
+};
+
+/// A stream that the other process of a hot restart has handed over.
+struct AdoptedStream {
+  RequestId id;
+  EndpointId endpoint;
+  Time silent_since{};  ///< as in RunningStream, so that each process does not wait anew
 };
 
 }  // namespace dispatcher::engine
--- a/src/engine/stream_handover.cpp
+++ b/src/engine/stream_handover.cpp
@@ -1,5 +1,6 @@
 #include "engine/stream_handover.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace dispatcher::engine {
@@ -11,7 +12,8 @@
     if (request.sink != &sink || !request.streaming_attempt) continue;
     if (request.is_answered || request.is_paused) continue;
     const int number = *request.streaming_attempt;
-    streams.push_back({slot, request.client, number, request.id, request.attempt(number).endpoint});
+    streams.push_back(
+        {slot, request.client, number, request.id, request.attempt(number).endpoint, request.silent_since});
   }
   return streams;
 }
@@ -28,18 +30,18 @@
   requests_.remove_if_complete(slot);
 }
 
-SlotId StreamHandover::adopt(ResponseSink& sink, SlotId client, const RequestId& id,
-                             const EndpointId& endpoint, SettingsSnapshot settings) {
-  const SlotId slot = requests_.add(id);
+SlotId StreamHandover::adopt(ResponseSink& sink, SlotId client, const AdoptedStream& stream,
+                             SettingsSnapshot settings) {
+  const SlotId slot = requests_.add(stream.id);
   ActiveRequest& request = *requests_.find(slot);
   request.sink = &sink;
   request.client = client;
   request.settings = std::move(settings);
   request.streaming_attempt = 0;
   Attempt& attempt = request.attempts.emplace_back();
-  attempt.endpoint = endpoint;
+  attempt.endpoint = stream.endpoint;
   attempt.started = context_.clock();
-  relay_.restart_idle_timer(slot);
+  relay_.await_event(slot, std::min(stream.silent_since, context_.clock()));
   return slot;
 }
 
--- a/src/engine/stream_handover.hpp
+++ b/src/engine/stream_handover.hpp
@@ -26,8 +26,8 @@
   void release(SlotId slot);
   /// Continues a stream of the other process. Its attempt gets the number 0. The router is not notified,
   /// because it has nothing to decide for a running stream.
-  [[nodiscard]] SlotId adopt(ResponseSink& sink, SlotId client, const RequestId& id,
-                             const EndpointId& endpoint, SettingsSnapshot settings);
+  [[nodiscard]] SlotId adopt(ResponseSink& sink, SlotId client, const AdoptedStream& stream,
+                             SettingsSnapshot settings);
 
  private:
   EngineContext& context_;
--- a/src/engine/stream_relay.cpp
+++ b/src/engine/stream_relay.cpp
@@ -26,7 +26,7 @@
   }
   ActiveRequest* request = requests_.find(id.request);
   if (request == nullptr || request->streaming_attempt != id.number || request->is_answered) return;
-  restart_idle_timer(id.request);
+  await_event(id.request, context_.clock());
   if (request->sink->write_events(request->client, events)) return;
   request = requests_.find(id.request);
   if (request == nullptr) return;
@@ -60,14 +60,15 @@
   ActiveRequest* request = requests_.find(slot);
   if (request == nullptr || !request->is_paused || !request->streaming_attempt) return;
   request->is_paused = false;
-  restart_idle_timer(slot);
+  await_event(slot, context_.clock());
   context_.upstream.resume_reading({slot, *request->streaming_attempt});
 }
 
-void StreamRelay::restart_idle_timer(SlotId slot) {
+void StreamRelay::await_event(SlotId slot, Time since) {
   ActiveRequest& request = *requests_.find(slot);
+  request.silent_since = since;
   context_.timers.drop(request.idle_timer);
-  request.idle_timer = context_.timers.add(context_.clock() + kIdleTimeout, [this, slot] { on_idle(slot); });
+  request.idle_timer = context_.timers.add(since + kIdleTimeout, [this, slot] { on_idle(slot); });
 }
 
 void StreamRelay::on_idle(SlotId slot) {
--- a/src/engine/stream_relay.hpp
+++ b/src/engine/stream_relay.hpp
@@ -23,9 +23,9 @@
   void on_events(AttemptId id, std::string_view events);
   /// Continues a paused stream. Called when the client's buffer has capacity again.
   void resume(SlotId slot);
-  /// Restarts the time after which the request's stream is aborted if no further event arrives. The request
-  /// must exist.
-  void restart_idle_timer(SlotId slot);
+  /// Awaits the next event of the request's stream, which is aborted if none arrives in time, counted from
+  /// `since`. The request must exist.
+  void await_event(SlotId slot, Time since);
 
  private:
   void start_stream(AttemptId id, const ActiveAttempt& active);
--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -39,6 +39,7 @@
 constexpr const char* kUnread = "unread";
 constexpr const char* kChunkLeft = "chunk_left";
 constexpr const char* kKeepAlive = "keep_alive";
+constexpr const char* kSilentSince = "silent_since_us";
 // Members of LearnedState and its endpoint histories, which use kEndpoint too.
 constexpr const char* kStartCosts = "starts";
 constexpr const char* kFarCost = "far";
@@ -167,6 +168,8 @@
     stream.chunk_left = object.at(key::kChunkLeft).get<std::uint64_t>();
     stream.keep_alive = object.at(key::kKeepAlive).get<bool>();
     stream.request_id = object.at(key::kRequestId).get<std::string>();
+    const Json& silent_since = member(object, key::kSilentSince);
+    if (silent_since.is_number_integer()) stream.silent_since = decode_time(silent_since);
     return stream;
   } catch (const std::exception& e) {
     return InvalidStreamTransfer{e.what()};
@@ -241,12 +244,13 @@
 
 Json encode(const StreamTransfer& message) {
   const std::vector<unsigned char> unread(message.unread.begin(), message.unread.end());
-  return {{key::kStream,
-           {{key::kRequestId, message.request_id.value()},
-            {key::kEndpoint, message.endpoint.value()},
-            {key::kUnread, unread},
-            {key::kChunkLeft, message.chunk_left},
-            {key::kKeepAlive, message.keep_alive}}}};
+  Json stream = {{key::kRequestId, message.request_id.value()},
+                 {key::kEndpoint, message.endpoint.value()},
+                 {key::kUnread, unread},
+                 {key::kChunkLeft, message.chunk_left},
+                 {key::kKeepAlive, message.keep_alive}};
+  if (message.silent_since) stream[key::kSilentSince] = message.silent_since->count();
+  return {{key::kStream, std::move(stream)}};
 }
 
 Json encode(const VrrpLeft& message) { return {{key::kVrrp, message.role == VrrpRole::kActive}}; }
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -3,8 +3,10 @@
 #ifndef DISPATCHER_HOT_RESTART_HANDOVER_MESSAGES_HPP_
 #define DISPATCHER_HOT_RESTART_HANDOVER_MESSAGES_HPP_
 
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -57,6 +59,9 @@
   std::string unread;            // bytes of the endpoint's response that are received but not parsed
   std::uint64_t chunk_left = 0;  // bytes of the current HTTP chunk that are not received yet
   bool keep_alive = true;        // whether the endpoint's connection may be reused after the response
+  // Since when the next event is awaited, by the system's monotonic clock. Unknown if the predecessor is of a
+  // release that does not send it.
+  std::optional<std::chrono::microseconds> silent_since = std::nullopt;
 };
 
 // Result of decoding a StreamTransfer that can't be parsed.
--- a/src/http/frontend.cpp
+++ b/src/http/frontend.cpp
@@ -25,10 +25,9 @@
               context.reclaim_descriptor),
       engine_(context.engine) {}
 
-SlotId Frontend::adopt_stream(net::UniqueFd socket, const engine::RequestId& id,
-                              const engine::EndpointId& endpoint) {
+SlotId Frontend::adopt_stream(net::UniqueFd socket, const engine::AdoptedStream& stream) {
   const SlotId client = server_.adopt_stream(std::move(socket));
-  const SlotId request = engine_.adopt_stream(*this, client, id, endpoint);
+  const SlotId request = engine_.adopt_stream(*this, client, stream);
   requests_[client] = request;
   return request;
 }
--- a/src/http/frontend.hpp
+++ b/src/http/frontend.hpp
@@ -41,9 +41,9 @@
   /// Returns the sink by which the engine identifies this frontend's requests.
   [[nodiscard]] const engine::ResponseSink& response_sink() const { return *this; }
 
-  /// Continues a stream that began in another process. `socket` is the client's socket, `id` the request's id
-  /// and `endpoint` the endpoint that sends the stream. Returns the engine's handle of the request.
-  SlotId adopt_stream(net::UniqueFd socket, const engine::RequestId& id, const engine::EndpointId& endpoint);
+  /// Continues a stream that began in another process. `socket` is the client's socket. Returns the engine's
+  /// handle of the request.
+  SlotId adopt_stream(net::UniqueFd socket, const engine::AdoptedStream& stream);
   /// Must be called after the client's stream was handed over to another process.
   void forget_detached_stream(SlotId client) { forget_request(client); }
 
--- a/tests/engine/engine_digest_fixture.cpp
+++ b/tests/engine/engine_digest_fixture.cpp
@@ -334,8 +334,9 @@
     from.engine.release_stream(stream.request);
     Client& moved = client(stream.client);
     moved.at = &from.other();
-    moved.request = moved.at->engine.adopt_stream(*frontends_[static_cast<std::size_t>(number)],
-                                                  stream.client, stream.id, active.endpoint);
+    moved.request =
+        moved.at->engine.adopt_stream(*frontends_[static_cast<std::size_t>(number)], stream.client,
+                                      {stream.id, active.endpoint, stream.silent_since});
     moved.at->attempts[{moved.request, 0}] = active;
   }
 }
--- a/tests/engine/engine_digest_test.cpp
+++ b/tests/engine/engine_digest_test.cpp
@@ -10,7 +10,7 @@
 namespace dispatcher::testing {
 namespace {
 
-constexpr std::uint64_t kRecordedDigest = 0x7870ED0BEA07298CU;
+constexpr std::uint64_t kRecordedDigest = 0x6EDC5F0AC3E48898U;
 constexpr int kRuns = 800;
 
 // Calls and steps that must occur often, so that the hash covers all of them.
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -88,6 +88,7 @@
     CHECK(stream.unread == "da\n\xff");
     CHECK(stream.chunk_left == 17);
     CHECK(stream.keep_alive);
+    CHECK_FALSE(stream.silent_since);
     events.emplace_back("stream");
   }
   bool reclaim_descriptor() override { return false; }
--- a/tests/hot_restart/hot_restart_stream_test.cpp
+++ b/tests/hot_restart/hot_restart_stream_test.cpp
@@ -88,8 +88,8 @@
   CHECK(fixture.engine.open_request_count() == 0);
   CHECK(fixture.platform.server().client_count() == 0);
   CHECK(fixture.pool.open_connections() == 1);  // the reader's, idle
-  const SlotId request =
-      fixture.platform.adopt_stream(std::move(client_socket), "a1", replica.state.endpoint);
+  const SlotId request = fixture.platform.adopt_stream(std::move(client_socket),
+                                                       {"a1", replica.state.endpoint, stream.silent_since});
   fixture.pool.adopt_stream({request, 0}, std::move(replica_socket), replica.state);
 }
 
