Two processes of a dispatcher divide its connections by use, not in fixed halves

What callers would see: requests that wait unread while the process is replaced.

Cause: both processes had half of the connections for as long as both ran: the old one from the moment at which a successor connected, served or not; the new one until the old one had ended, though streams that it takes over fill its half. Change: the old process uses all until its successor serves. While it shuts down it gives up what it no longer needs, and sends the numbers that it keeps; the successor uses the rest. Older releases ignore the message, and get half as before. Why it works: both together stay within the descriptors, as the old process only ever keeps fewer than it has sent.

--- a/src/daemon/components.cpp
+++ b/src/daemon/components.cpp
@@ -13,6 +13,11 @@
 // numbers.
 constexpr std::uint64_t kWatcherSeedMask = 0x5bd1e995;
 
+// Connections to endpoints that a process keeps while it shuts down, besides one for each request that is not
+// answered yet: for further attempts, one for each kRequestsPerSpareConnection requests, and for releases.
+constexpr std::size_t kRequestsPerSpareConnection = 4;
+constexpr std::size_t kReleaseConnections = 2;
+
 // Returns the path of a file of this dispatcher in the directory that its processes share, or an empty string
 // if there is no such directory.
 std::string shared_path(const Config& config, const char* suffix) {
@@ -44,10 +49,10 @@
       degradation_controller(config.settings, parse_levels(files, config.settings), loop.clock(), log,
                              [this] { return std::uniform_real_distribution<double>(0, 1)(random); }),
       replica_client(loop.io(), loop.timers(), loop.clock(), log,
-                     upstream_options(config, ProcessCount::kOne)),
+                     upstream_options(config, dispatcher_connections(config).endpoints)),
       engine(settings, config.seed, replica_client, loop.timers(), loop.clock(), log),
-      client_capacity(
-          std::make_shared<http::ClientCapacity>(client_limits(config, ProcessCount::kOne))),
+      client_capacity(std::make_shared<http::ClientCapacity>(
+          client_limits(config, dispatcher_connections(config).clients))),
       platform_frontend(frontend_context(), config.listen, settings),
       endpoint_watcher(
           loop.io(), config.discovery, loop.timers(), loop.clock(), log, callbacks.on_endpoints,
@@ -106,20 +111,44 @@
   return servers;
 }
 
-ProcessCount Components::processes() const {
-  return hot_restart_peer.has_peer() ? ProcessCount::kTwo : ProcessCount::kOne;
+// A successor that does not serve yet needs no connections. One whose predecessor shuts down gets what that
+// one has given up.
+ConnectionLimits Components::connection_limits() const {
+  ConnectionLimits limits = dispatcher_connections(config);
+  const auto& used_by_predecessor = hot_restart_peer.predecessor_connections();
+  const bool has_serving_predecessor = hot_restart_peer.has_predecessor() && !used_by_predecessor;
+  if (used_by_predecessor) limits = remainder_of(limits, *used_by_predecessor);
+  const bool serves_beside_another = has_serving_predecessor || hot_restart_peer.is_successor_serving();
+  return serves_beside_another ? half_of(limits) : limits;
 }
 
+// A process that is replaced goes on answering the clients that it has, even if they are more than its part.
 void Components::apply_resource_limits() {
   apply_rate_limit_share();
-  replica_client.apply_options(upstream_options(config, processes()));
-  client_capacity->set_limits(client_limits(config, processes()));
+  const ConnectionLimits connections = connection_limits();
+  replica_client.apply_options(upstream_options(config, connections.endpoints));
+  http::ClientLimits limits = client_limits(config, connections.clients);
+  if (hot_restart_peer.is_successor_serving())
+    limits.max_answers = client_limits(config, dispatcher_connections(config).clients).max_answers;
+  client_capacity->set_limits(limits);
+}
+
+void Components::give_up_connections() {
+  if (!hot_restart_peer.is_successor_serving()) return;
+  const std::size_t requests = engine.unanswered_count();
+  const std::size_t needed = requests + requests / kRequestsPerSpareConnection + kReleaseConnections;
+  const std::size_t max_endpoint_connections = std::min(connection_limits().endpoints, needed);
+  replica_client.apply_options(upstream_options(config, max_endpoint_connections));
+  auto in_use = hot_restart_peer.predecessor_connections().value_or(hot_restart::ConnectionsInUse{});
+  for (const http::Server* server : client_servers()) in_use.clients += server->client_count();
+  in_use.endpoints += std::max(replica_client.open_connections(), max_endpoint_connections);
+  hot_restart_peer.notify_connections(in_use);
 }
 
 // Two processes of one dispatcher count as two instances, each of which enforces half of the dispatcher's
 // share.
 void Components::apply_rate_limit_share() {
-  const std::size_t processes_per_dispatcher = count_of(processes());
+  const std::size_t processes_per_dispatcher = hot_restart_peer.has_peer() ? 2 : 1;
   const auto dispatcher = static_cast<std::size_t>(std::max(0, config.settings.router_number));
   const auto dispatchers = static_cast<std::size_t>(std::max(1, config.settings.router_count));
   const std::size_t process = hot_restart_peer.has_predecessor() ? 1 : 0;
--- a/src/daemon/components.hpp
+++ b/src/daemon/components.hpp
@@ -52,8 +52,11 @@
 
   // Returns the servers of the client frontends.
   [[nodiscard]] std::vector<http::Server*> client_servers();
-  // Sets the connection and rate limits, which are lower while another process of this dispatcher runs.
+  // Sets the connection and rate limits, which are lower while another process of this dispatcher serves.
   void apply_resource_limits();
+  // Gives up the connections that this process, which shuts down, no longer needs, and notifies the successor
+  // of those that it keeps. Must be called again while it shuts down.
+  void give_up_connections();
   // Sets the rate limits alone, as apply_resource_limits() does.
   void apply_rate_limit_share();
   // Passes a complete list, or an update of the current one, to every component that keeps endpoints.
@@ -80,7 +83,7 @@
   service_discovery::EndpointSnapshot endpoints;  // the complete list as of the last update
 
  private:
-  [[nodiscard]] ProcessCount processes() const;
+  [[nodiscard]] ConnectionLimits connection_limits() const;
   [[nodiscard]] http::FrontendContext frontend_context();
   [[nodiscard]] http::DescriptorReclaimer descriptor_reclaimer();
   void attach_admission(http::Frontend& frontend);
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -216,6 +216,7 @@
 // checks again after kDrainCheckInterval.
 void Dispatcher::finish_draining() {
   stream_handover_.hand_over();
+  components_.give_up_connections();
   if (has_stopped_accepting_) {
     for (http::Server* server : components_.client_servers()) server->close_idle();
   }
--- a/src/daemon/dispatcher.hpp
+++ b/src/daemon/dispatcher.hpp
@@ -63,6 +63,7 @@
   bool reclaim_descriptor() override { return components_.replica_client.evict_idle(); }
   void on_vrrp_left(hot_restart::VrrpRole role, net::UniqueFd listening_socket) override;
   void on_peers_changed() override;
+  void on_predecessor_connections() override { components_.apply_resource_limits(); }
 
   ComponentCallbacks callbacks();
   void await_signal();
--- a/src/daemon/resource_limits.cpp
+++ b/src/daemon/resource_limits.cpp
@@ -44,15 +44,29 @@
   return limit.rlim_cur;
 }
 
-std::size_t connection_descriptors(const Config& config, ProcessCount processes) {
+std::size_t connection_descriptors(const Config& config) {
   const std::size_t descriptors = std::min(config.max_descriptors, max_open_files());
-  const std::size_t spare = std::min(kSpareDescriptors, descriptors / 2);
-  return (descriptors - spare) / count_of(processes);
+  return descriptors - std::min(kSpareDescriptors, descriptors / 2);
 }
 
+std::size_t remainder_of(std::size_t all, std::size_t used) { return all > used ? all - used : 1; }
+
 }  // namespace
 
-upstream::Options upstream_options(const Config& config, ProcessCount processes) {
+ConnectionLimits dispatcher_connections(const Config& config) {
+  const std::size_t descriptors = connection_descriptors(config);
+  return {descriptors * kClientPercent / 100, descriptors * kEndpointPercent / 100};
+}
+
+ConnectionLimits half_of(const ConnectionLimits& all) { return {all.clients / 2, all.endpoints / 2}; }
+
+ConnectionLimits remainder_of(const ConnectionLimits& all,
+                              const hot_restart::ConnectionsInUse& used_by_predecessor) {
+  return {remainder_of(all.clients, used_by_predecessor.clients),
+          remainder_of(all.endpoints, used_by_predecessor.endpoints)};
+}
+
+upstream::Options upstream_options(const Config& config, std::size_t max_connections) {
   const routing::Settings& settings = config.settings;
   upstream::Options options;
   options.connect_timeout = settings.connect_timeout;
@@ -62,15 +76,13 @@
   options.drain_grace = settings.drain_grace;
   options.release_repeat_interval =
       std::max<engine::Duration>(kMinReleaseInterval, settings.reservation_limit * 2 / 3);
-  const std::size_t descriptors = connection_descriptors(config, processes) * kEndpointPercent / 100;
-  options.max_connections = std::min<std::size_t>(options.max_connections, descriptors);
+  options.max_connections = std::min(options.max_connections, max_connections);
   options.max_idle_total = std::min(options.max_idle_total, options.max_connections / 2);
   return options;
 }
 
-http::ClientLimits client_limits(const Config& config, ProcessCount processes) {
-  const std::size_t descriptors = connection_descriptors(config, processes) * kClientPercent / 100;
-  return http::ClientLimits::of(std::min(kMaxClients, descriptors),
+http::ClientLimits client_limits(const Config& config, std::size_t max_clients) {
+  return http::ClientLimits::of(std::min(kMaxClients, max_clients),
                                 config.max_memory_mb * kBytesPerMegabyte / kBodyMemoryDivisor);
 }
 
--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -24,6 +24,7 @@
 constexpr const char* kForwardedTo = "sent";
 constexpr const char* kStream = "stream";
 constexpr const char* kVrrp = "vrrp";
+constexpr const char* kConnections = "connections";
 // Further members of Handover.
 constexpr const char* kListenerNames = "listening";
 constexpr const char* kEndpointList = "list";
@@ -40,6 +41,9 @@
 constexpr const char* kChunkLeft = "chunk_left";
 constexpr const char* kKeepAlive = "keep_alive";
 constexpr const char* kSilentSince = "silent_since_us";
+// Members of the object in a ConnectionsInUse.
+constexpr const char* kClients = "clients";
+constexpr const char* kUpstream = "endpoints";
 // Members of LearnedState and its endpoint histories, which use kEndpoint too.
 constexpr const char* kStartCosts = "starts";
 constexpr const char* kFarCost = "far";
@@ -159,6 +163,11 @@
   return VrrpLeft{was_active ? VrrpRole::kActive : VrrpRole::kBackup};
 }
 
+std::size_t count_member(const Json& object, const char* name) {
+  const Json& value = member(object, name);
+  return value.is_number_unsigned() ? value.get<std::size_t>() : 0;
+}
+
 Message decode_stream(const Json& object) {
   try {
     StreamTransfer stream;
@@ -255,6 +264,10 @@
 
 Json encode(const VrrpLeft& message) { return {{key::kVrrp, message.role == VrrpRole::kActive}}; }
 
+Json encode(const ConnectionsInUse& message) {
+  return {{key::kConnections, {{key::kClients, message.clients}, {key::kUpstream, message.endpoints}}}};
+}
+
 std::vector<Message> decode(const Json& object, PeerRole sender) {
   if (sender == PeerRole::kPredecessor && object.contains(key::kHandover)) return {decode_handover(object)};
   if (sender == PeerRole::kSuccessor && object.contains(key::kServing)) return {SuccessorServing{}};
@@ -265,6 +278,11 @@
     messages.emplace_back(RequestForwarded{text_member(object, key::kForwardedTo)});
   if (object.contains(key::kStream)) messages.push_back(decode_stream(object.at(key::kStream)));
   if (object.contains(key::kVrrp)) messages.push_back(decode_vrrp_left(object));
+  if (sender == PeerRole::kPredecessor && object.contains(key::kConnections)) {
+    const Json& connections = object.at(key::kConnections);
+    messages.emplace_back(ConnectionsInUse{count_member(connections, key::kClients),
+                                           count_member(connections, key::kUpstream)});
+  }
   return messages;
 }
 
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -4,6 +4,7 @@
 #define DISPATCHER_HOT_RESTART_HANDOVER_MESSAGES_HPP_
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -69,6 +70,14 @@
   std::string problem;  // for the log
 };
 
+// Sent by a predecessor that shuts down, whenever the numbers change: the most connections that it will have
+// from now on. The successor may use the others.
+struct ConnectionsInUse {
+  std::size_t clients = 0;
+  std::size_t endpoints = 0;
+  bool operator==(const ConnectionsInUse&) const = default;
+};
+
 // The role of a dispatcher in its VRRP group: the active router or a backup.
 enum class VrrpRole { kActive, kBackup };
 
@@ -79,8 +88,9 @@
 };
 
 // Any message.
-using Message = std::variant<Handover, SuccessorServing, AdministrativeStateChanged, RequestStatusChanged,
-                             RequestForwarded, StreamTransfer, InvalidStreamTransfer, VrrpLeft>;
+using Message =
+    std::variant<Handover, SuccessorServing, AdministrativeStateChanged, RequestStatusChanged,
+                 RequestForwarded, StreamTransfer, InvalidStreamTransfer, VrrpLeft, ConnectionsInUse>;
 
 // Returns the JSON form of a message or of the learned state in it.
 [[nodiscard]] Json encode(const Handover& message);
@@ -90,6 +100,7 @@
 [[nodiscard]] Json encode(const RequestForwarded& message);
 [[nodiscard]] Json encode(const StreamTransfer& message);
 [[nodiscard]] Json encode(const VrrpLeft& message);
+[[nodiscard]] Json encode(const ConnectionsInUse& message);
 [[nodiscard]] Json encode(const routing::LearnedState& learned_state);
 
 // Returns the shorter form of a Handover that is too long for one packet. It omits what the successor gets in
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -58,6 +58,7 @@
 void HotRestartPeer::on_successor_connected(net::UniqueFd socket) {
   if (successor_.channel != nullptr) successor_.channel->close();  // that one failed and was started again
   is_successor_serving_ = false;
+  notified_connections_.reset();
   successor_.channel = std::make_shared<HandoverChannel>(io_, std::move(socket), successor_);
   successor_.channel->start();
   send_handover();
@@ -146,6 +147,11 @@
   owner_.on_vrrp_left(message.role, std::move(listening_socket));
 }
 
+void HotRestartPeer::handle(const ConnectionsInUse& message, Descriptors& /*descriptors*/) {
+  predecessor_connections_ = message;
+  owner_.on_predecessor_connections();
+}
+
 void HotRestartPeer::on_channel_closed(Connection& connection, ChannelEnd end) {
   connection.channel.reset();
   const std::string end_text = " (channel " + std::string(to_text(end)) + ")";
@@ -153,6 +159,7 @@
     is_successor_serving_ = false;
     log_("upgrade: the successor has ended" + end_text);
   } else {
+    predecessor_connections_.reset();
     log_("upgrade: the predecessor has ended" + end_text + ", " + std::to_string(received_streams_) +
          " streams taken over");
   }
@@ -188,6 +195,12 @@
   if (!is_sent) successor_.channel->send(message);  // the successor then opens a socket of its own
 }
 
+void HotRestartPeer::notify_connections(const ConnectionsInUse& connections) {
+  if (!is_successor_serving() || notified_connections_ == connections) return;
+  notified_connections_ = connections;
+  successor_.channel->send(encode(connections));
+}
+
 bool HotRestartPeer::transfer_stream(const StreamTransfer& stream, int client, int upstream) {
   if (!is_successor_serving()) return false;
   if (!successor_.channel->send_immediately(encode(stream), {client, upstream})) return false;
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -71,6 +71,8 @@
     virtual void on_vrrp_left(VrrpRole role, net::UniqueFd listening_socket) = 0;
     // Called when a predecessor or successor has connected, begun to serve or disconnected.
     virtual void on_peers_changed() = 0;
+    // Called when predecessor_connections() has changed.
+    virtual void on_predecessor_connections() = 0;
   };
 
   // `path` is the Unix socket by which processes find each other. Hot restart is disabled if it is empty. The
@@ -103,6 +105,14 @@
   // Notifies the successor that this process has left the VRRP group, so that the successor may join it, and
   // sends it a copy of the socket that listens at the shared address, unless that is nullopt.
   void notify_vrrp_left(VrrpRole role, std::optional<int> listening_socket = std::nullopt);
+  // Notifies the successor how many connections this process, which shuts down, will have at most. Sends
+  // nothing if the successor does not serve or has been notified of the same numbers.
+  void notify_connections(const ConnectionsInUse& connections);
+  // Returns what the predecessor has last sent of this kind. Empty if there is no predecessor, if it does not
+  // shut down, or if it is of a release that does not send this.
+  [[nodiscard]] const std::optional<ConnectionsInUse>& predecessor_connections() const {
+    return predecessor_connections_;
+  }
   // Hands a stream over to the successor. Returns whether the successor gets it. If not, the stream stays
   // with this process: the successor has ended, or can't receive it now. The caller keeps the sockets, and
   // copies are sent.
@@ -141,6 +151,7 @@
   void handle(const StreamTransfer& message, Descriptors& descriptors);
   void handle(const InvalidStreamTransfer& message, Descriptors& descriptors);
   void handle(const VrrpLeft& message, Descriptors& descriptors);
+  void handle(const ConnectionsInUse& message, Descriptors& descriptors);
   void on_channel_closed(Connection& connection, ChannelEnd end);
   void broadcast(const Json& message);
 
@@ -155,8 +166,10 @@
   Connection successor_{*this, PeerRole::kSuccessor};
   bool has_state_ = false;  // whether on_handover() was called
   bool is_successor_serving_ = false;
-  std::size_t transferred_streams_ = 0;  // handed over to successors
-  std::size_t received_streams_ = 0;     // taken over from the predecessor
+  std::optional<ConnectionsInUse> predecessor_connections_;
+  std::optional<ConnectionsInUse> notified_connections_;  // what the successor was notified of
+  std::size_t transferred_streams_ = 0;                   // handed over to successors
+  std::size_t received_streams_ = 0;                      // taken over from the predecessor
   engine::TimerId handover_timer_;
 };
 
--- a/tests/daemon/client_capacity_test.cpp
+++ b/tests/daemon/client_capacity_test.cpp
@@ -1,7 +1,9 @@
-// Tests for how a process divides the connections that its descriptors allow between its frontends. The platform's clients hold up to a third of the descriptors
+// Tests for how a process divides the connections that its descriptors allow between its frontends, and
+// between two processes during a hot restart. The platform's clients hold up to a third of the descriptors
 // with requests; each of these requests must be answered.
 #include "tests/fixtures/child_process.hpp"
 #include "tests/fixtures/hot_restart_processes.hpp"
+#include "tests/hot_restart/raw_socket.hpp"
 
 namespace dispatcher::testing {
 namespace {
@@ -78,5 +80,36 @@
   for (const auto& chat_client : chat_clients) CHECK(chat_client->status != 0);
 }
 
+// Guards against requests that wait unread while a successor has connected that does not serve.
+TEST_CASE("a process that is about to be replaced uses all connections until its successor serves",
+          "[app][capacity][upgrade]") {
+  CapacityFixture fixture;
+  fixture.start();
+  const RawSocket successor = RawSocket::connect(fixture.folder / "bitternferry-n1.sock");
+  REQUIRE(fixture.until([&] { return fixture.processes[0]->logged("upgrade: another process"); }));
+  fixture.post_many(kMaxRequests);
+  fixture.run_for(seconds(1));
+  CHECK(fixture.served() == kMaxRequests);
+}
+
+// Guards against requests that wait unread at a successor whose connections are all used by the streams that
+// it has taken over, while its predecessor stays for a stream that is not handed over.
+TEST_CASE("a successor may use the connections that its draining predecessor does not use",
+          "[app][capacity][upgrade]") {
+  CapacityFixture fixture;
+  fixture.turn_chat_on();
+  DispatcherProcess& old = fixture.start();
+  const auto chat_client = fixture.chat();
+  constexpr std::size_t kStreams = kMaxRequests * 2 / 3;
+  fixture.post_many(kStreams);
+  fixture.start();
+  HotRestartProcesses::terminate(old);
+  fixture.run_for(milliseconds(500));
+  fixture.post_many(kMaxRequests - kStreams - 1);
+  fixture.run_for(seconds(1));
+  REQUIRE_FALSE(old.has_ended());  // the chat client's stream stays
+  CHECK(fixture.served() == kMaxRequests - 1);
+}
+
 }  // namespace
 }  // namespace dispatcher::testing
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -97,6 +97,7 @@
     events.emplace_back(role == hot_restart::VrrpRole::kActive ? "vrrp active" : "vrrp backup");
   }
   void on_peers_changed() override { events.emplace_back("peers changed"); }
+  void on_predecessor_connections() override { events.emplace_back("connections"); }
 
   bool long_list = false;
   bool long_learned_state = false;
@@ -259,6 +260,36 @@
   }
 }
 
+TEST_CASE("a predecessor that shuts down sends the connections that it keeps whenever they change",
+          "[upgrade]") {
+  PeerFixture fixture;
+  const RawSocket successor = fixture.serve();
+  fixture.expect(successor, kHandover, 2);
+  fixture.peer->notify_connections({3, 4});  // the successor does not serve yet
+  successor.send(kServing);
+  REQUIRE(fixture.work.until([&] { return fixture.peer->is_successor_serving(); }));
+  fixture.peer->notify_connections({2, 4});
+  fixture.peer->notify_connections({2, 4});
+  fixture.peer->notify_connections({2, 1});
+  fixture.expect(successor, R"({"connections":{"clients":2,"endpoints":4}})");
+  fixture.expect(successor, R"({"connections":{"clients":2,"endpoints":1}})");
+}
+
+TEST_CASE("the connections that a predecessor keeps reach the owner, and end with the predecessor",
+          "[upgrade]") {
+  PeerFixture fixture;
+  std::optional<RawSocket> predecessor = fixture.take_over();
+  CHECK_FALSE(fixture.peer->predecessor_connections());
+  predecessor->send(R"({"connections":{"clients":2,"endpoints":4}})");
+  predecessor->send(R"({"connections":{"clients":-1,"endpoints":"x"}})");
+  fixture.wait_for(3);
+  CHECK(fixture.owner.events == std::vector<std::string>{"peers changed", "connections", "connections"});
+  CHECK(fixture.peer->predecessor_connections() == hot_restart::ConnectionsInUse{0, 0});
+  predecessor.reset();
+  fixture.wait_for(4);
+  CHECK_FALSE(fixture.peer->predecessor_connections());
+}
+
 TEST_CASE("the previous release's hand-over without a list decodes to a state without list and ids",
           "[upgrade][compatibility]") {
   PeerFixture fixture;
