A VRRP backup that is replaced goes on waiting for advertisements from where it was

What callers would see: a shared address without an active router.

Cause: the successor of a backup started its Active_Down_Timer anew. Where the active router has fallen silent and the process is replaced faster than the interval, nobody takes over. Change: the message that a process has left the group says when it would have taken over, by the monotonic clock. Why it works: the interval runs from the last advertisement, whichever process received it.

--- a/src/daemon/chat_address.cpp
+++ b/src/daemon/chat_address.cpp
@@ -32,7 +32,7 @@
 // leaves.
 void ChatAddress::serve(net::UniqueFd listening_socket) {
   if (vrrp_config_) {
-    if (!components_.hot_restart_peer.has_predecessor()) join_pair(vrrp::StartMode::kNormal);
+    if (!components_.hot_restart_peer.has_predecessor()) join_pair({});
   } else if (components_.chat_frontend) {
     components_.chat_frontend->server().open(std::move(listening_socket));
   }
@@ -41,17 +41,18 @@
 
 // VRRP decides which instance of the pair listens. During a hot restart, only one of the two processes of an
 // instance takes part in VRRP.
-void ChatAddress::join_pair(vrrp::StartMode mode) {
+void ChatAddress::join_pair(const vrrp::Start& start) {
   if (!vrrp_config_ || vrrp_ || has_left_) return;
   try {
     start_vrrp();
   } catch (const std::exception& error) {
     if (!is_serving_) throw;
     components_.log(std::string("vrrp: can't start yet: ") + error.what());
-    components_.loop.timers().add(components_.loop.now() + kRetryInterval, [this, mode] { join_pair(mode); });
+    components_.loop.timers().add(components_.loop.now() + kRetryInterval,
+                                  [this, start] { join_pair(start); });
     return;
   }
-  vrrp_->start(mode);
+  vrrp_->start(start);
 }
 
 void ChatAddress::start_vrrp() {
@@ -69,26 +70,33 @@
   }
   // A process that has taken the listener over may still wait for the VRRP address.
   const bool was_active = vrrp_ ? vrrp_->state() == vrrp::State::kActive : has_listener;
+  using hot_restart::VrrpRole;
+  hot_restart::VrrpLeft left{was_active ? VrrpRole::kActive : VrrpRole::kBackup};
+  if (vrrp_ && vrrp_->active_down_at())
+    left.active_down_at = components_.loop.to_monotonic(*vrrp_->active_down_at());
   if (vrrp_) vrrp_->hand_over();
   is_active_ = false;
   std::optional<int> listening_socket;
   if (was_active && has_listener) listening_socket = components_.chat_frontend->server().listening_socket();
-  using hot_restart::VrrpRole;
-  components_.hot_restart_peer.notify_vrrp_left(was_active ? VrrpRole::kActive : VrrpRole::kBackup,
-                                                listening_socket);
+  components_.hot_restart_peer.notify_vrrp_left(left, listening_socket);
 }
 
 // The listener opens before VRRP starts, which may have to wait for the address: its clients must not.
-void ChatAddress::take_over(hot_restart::VrrpRole role, net::UniqueFd listening_socket) {
+void ChatAddress::take_over(const hot_restart::VrrpLeft& predecessor, net::UniqueFd listening_socket) {
   if (!vrrp_config_) return;
   if (has_left_) {
     const std::optional<int> socket = listening_socket ? std::optional(listening_socket.get()) : std::nullopt;
-    return components_.hot_restart_peer.notify_vrrp_left(role, socket);
+    return components_.hot_restart_peer.notify_vrrp_left(predecessor, socket);
   }
   if (vrrp_) return;
-  const bool was_active = role == hot_restart::VrrpRole::kActive;
-  if (was_active) open_listener(std::move(listening_socket));
-  join_pair(was_active ? vrrp::StartMode::kResumeActive : vrrp::StartMode::kNormal);
+  if (predecessor.role == hot_restart::VrrpRole::kActive) {
+    open_listener(std::move(listening_socket));
+    return join_pair({vrrp::StartMode::kResumeActive});
+  }
+  vrrp::Start start;
+  if (predecessor.active_down_at)
+    start.active_down_at = components_.loop.from_monotonic(*predecessor.active_down_at);
+  join_pair(start);
 }
 
 void ChatAddress::set_active(bool is_active) {
--- a/src/daemon/chat_address.hpp
+++ b/src/daemon/chat_address.hpp
@@ -28,10 +28,10 @@
   [[nodiscard]] bool is_paired() const { return vrrp_config_.has_value(); }
   // Joins the pair, if there is one and this process has not joined or left it yet. After serve() has
   // returned, a failure to bind the VRRP address is logged and the call is retried until it succeeds.
-  void join_pair(vrrp::StartMode mode);
-  // Continues in the predecessor's role of the pair. `listening_socket` is the one that it listened with, if
+  void join_pair(const vrrp::Start& start);
+  // Continues in the role that the predecessor had. `listening_socket` is the one that it listened with, if
   // it was active. A process that has left the pair already passes both on to its own successor.
-  void take_over(hot_restart::VrrpRole role, net::UniqueFd listening_socket);
+  void take_over(const hot_restart::VrrpLeft& predecessor, net::UniqueFd listening_socket);
   // Leaves the pair. Must be called when the process shuts down, so that its successor or, without one, the
   // other instance of the pair takes over at once.
   void leave_pair();
--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -140,15 +140,14 @@
   stream_handover_.adopt(stream, std::move(client_socket), std::move(upstream_socket));
 }
 
-void Dispatcher::on_vrrp_left(hot_restart::VrrpRole role, net::UniqueFd listening_socket) {
-  if (is_serving_) chat_address_.take_over(role, std::move(listening_socket));
+void Dispatcher::on_vrrp_left(const hot_restart::VrrpLeft& left, net::UniqueFd listening_socket) {
+  if (is_serving_) chat_address_.take_over(left, std::move(listening_socket));
 }
 
 void Dispatcher::on_peers_changed() {
   components_.apply_resource_limits();
   if (!components_.hot_restart_peer.has_peer()) components_.engine.on_peer_disconnected();
-  if (!components_.hot_restart_peer.has_predecessor() && is_serving_)
-    chat_address_.join_pair(vrrp::StartMode::kNormal);
+  if (!components_.hot_restart_peer.has_predecessor() && is_serving_) chat_address_.join_pair({});
   if (is_draining_ && components_.hot_restart_peer.is_successor_serving()) stop_accepting();
 }
 
--- a/src/daemon/dispatcher.hpp
+++ b/src/daemon/dispatcher.hpp
@@ -61,7 +61,7 @@
   void on_stream(const hot_restart::StreamTransfer& stream, net::UniqueFd client_socket,
                  net::UniqueFd upstream_socket) override;
   bool reclaim_descriptor() override { return components_.replica_client.evict_idle(); }
-  void on_vrrp_left(hot_restart::VrrpRole role, net::UniqueFd listening_socket) override;
+  void on_vrrp_left(const hot_restart::VrrpLeft& left, net::UniqueFd listening_socket) override;
   void on_peers_changed() override;
   void on_predecessor_connections() override { components_.apply_resource_limits(); }
 
--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -41,6 +41,8 @@
 constexpr const char* kChunkLeft = "chunk_left";
 constexpr const char* kKeepAlive = "keep_alive";
 constexpr const char* kSilentSince = "silent_since_us";
+// A further member of VrrpLeft.
+constexpr const char* kActiveDownAt = "active_down_at_us";
 // Members of the object in a ConnectionsInUse.
 constexpr const char* kClients = "clients";
 constexpr const char* kUpstream = "endpoints";
@@ -160,7 +162,10 @@
 
 Message decode_vrrp_left(const Json& object) {
   const bool was_active = flag_member(object, key::kVrrp);
-  return VrrpLeft{was_active ? VrrpRole::kActive : VrrpRole::kBackup};
+  VrrpLeft left{was_active ? VrrpRole::kActive : VrrpRole::kBackup};
+  const Json& active_down_at = member(object, key::kActiveDownAt);
+  if (active_down_at.is_number_integer()) left.active_down_at = decode_time(active_down_at);
+  return left;
 }
 
 std::size_t count_member(const Json& object, const char* name) {
@@ -262,7 +267,11 @@
   return {{key::kStream, std::move(stream)}};
 }
 
-Json encode(const VrrpLeft& message) { return {{key::kVrrp, message.role == VrrpRole::kActive}}; }
+Json encode(const VrrpLeft& message) {
+  Json object = {{key::kVrrp, message.role == VrrpRole::kActive}};
+  if (message.active_down_at) object[key::kActiveDownAt] = message.active_down_at->count();
+  return object;
+}
 
 Json encode(const ConnectionsInUse& message) {
   return {{key::kConnections, {{key::kClients, message.clients}, {key::kUpstream, message.endpoints}}}};
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -85,6 +85,9 @@
 // router, the descriptor of the socket that listens at the shared address is attached.
 struct VrrpLeft {
   VrrpRole role = VrrpRole::kBackup;
+  // When a backup takes over unless it receives an advertisement, by the system's monotonic clock. Unknown if
+  // the predecessor is of a release that does not send it.
+  std::optional<std::chrono::microseconds> active_down_at = std::nullopt;
 };
 
 // Any message.
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -144,7 +144,7 @@
 void HotRestartPeer::handle(const VrrpLeft& message, Descriptors& descriptors) {
   net::UniqueFd listening_socket;
   if (!descriptors.empty()) listening_socket = std::move(descriptors.front());
-  owner_.on_vrrp_left(message.role, std::move(listening_socket));
+  owner_.on_vrrp_left(message, std::move(listening_socket));
 }
 
 void HotRestartPeer::handle(const ConnectionsInUse& message, Descriptors& /*descriptors*/) {
@@ -188,9 +188,9 @@
   broadcast(encode(AdministrativeStateChanged{endpoint, state}));
 }
 
-void HotRestartPeer::notify_vrrp_left(VrrpRole role, std::optional<int> listening_socket) {
+void HotRestartPeer::notify_vrrp_left(const VrrpLeft& left, std::optional<int> listening_socket) {
   if (successor_.channel == nullptr) return;
-  const Json message = encode(VrrpLeft{role});
+  const Json message = encode(left);
   const bool is_sent = listening_socket && successor_.channel->send(message, {*listening_socket});
   if (!is_sent) successor_.channel->send(message);  // the successor then opens a socket of its own
 }
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -66,9 +66,9 @@
     // Called when there are no descriptors for the sockets of a stream. Closes one that this process can
     // spare. Returns false if there is none: the stream is then received later.
     virtual bool reclaim_descriptor() = 0;
-    // Called when the predecessor has left the VRRP group, in which it had this role. `listening_socket` is
-    // the one of the shared address; it is empty if the predecessor was a backup or sent none.
-    virtual void on_vrrp_left(VrrpRole role, net::UniqueFd listening_socket) = 0;
+    // Called when the predecessor has left the VRRP group. `listening_socket` is the one of the shared
+    // address; it is empty if the predecessor was a backup or sent none.
+    virtual void on_vrrp_left(const VrrpLeft& left, net::UniqueFd listening_socket) = 0;
     // Called when a predecessor or successor has connected, begun to serve or disconnected.
     virtual void on_peers_changed() = 0;
     // Called when predecessor_connections() has changed.
@@ -104,7 +104,7 @@
   void notify_administrative_state(const routing::EndpointId& endpoint, routing::AdministrativeState state);
   // Notifies the successor that this process has left the VRRP group, so that the successor may join it, and
   // sends it a copy of the socket that listens at the shared address, unless that is nullopt.
-  void notify_vrrp_left(VrrpRole role, std::optional<int> listening_socket = std::nullopt);
+  void notify_vrrp_left(const VrrpLeft& left, std::optional<int> listening_socket = std::nullopt);
   // Notifies the successor how many connections this process, which shuts down, will have at most. Sends
   // nothing if the successor does not serve or has been notified of the same numbers.
   void notify_connections(const ConnectionsInUse& connections);
--- a/src/vrrp/state_machine.cpp
+++ b/src/vrrp/state_machine.cpp
@@ -1,5 +1,7 @@
 #include "vrrp/state_machine.hpp"
 
+#include <algorithm>
+
 namespace dispatcher::vrrp {
 
 namespace {
@@ -36,11 +38,12 @@
   timer_ = now + active_down_interval();
 }
 
-StateMachine::Advertisements StateMachine::startup(Time now, StartMode mode) {
+StateMachine::Advertisements StateMachine::startup(Time now, const Start& start) {
   if (state_ != State::kInitialize) return {};
-  if (is_owner() || mode == StartMode::kResumeActive) return become_active(now);
+  if (is_owner() || start.mode == StartMode::kResumeActive) return become_active(now);
   active_interval_cs_ = parameters_.interval_cs;
   become_backup(now);
+  if (start.active_down_at) timer_ = std::min(*timer_, *start.active_down_at);
   return {};
 }
 
--- a/src/vrrp/state_machine.hpp
+++ b/src/vrrp/state_machine.hpp
@@ -26,6 +26,14 @@
   kResumeActive  // as active, in place of a process of this router that was active and stopped silently
 };
 
+/// How a router enters the protocol.
+struct Start {
+  StartMode mode = StartMode::kNormal;
+  /// When the Active_Down_Timer expires of a process that was a backup and that this one replaces. Empty: the
+  /// timer starts anew.
+  std::optional<Time> active_down_at = std::nullopt;
+};
+
 /// The parameters of one virtual router (RFC 9568, section 6.1).
 struct Parameters {
   std::uint8_t vrid = 1;            // virtual router identifier, 1 to 255
@@ -46,7 +54,7 @@
   using Advertisements = std::vector<Advertisement>;
 
   /// Leaves kInitialize; does nothing in any other state.
-  Advertisements startup(Time now, StartMode mode = StartMode::kNormal);
+  Advertisements startup(Time now, const Start& start = {});
   /// Returns to kInitialize. An active router advertises kShutdownPriority.
   Advertisements shutdown();
   /// Handles the expiry of the timer. Must be called at or after next_timer(); does nothing before.
--- a/src/vrrp/vrrp_instance.cpp
+++ b/src/vrrp/vrrp_instance.cpp
@@ -36,9 +36,9 @@
       machine_(config.parameters),
       socket_(io, config.listen) {}
 
-void VrrpInstance::start(StartMode mode) {
+void VrrpInstance::start(const Start& how) {
   receive();
-  apply(machine_.startup(clock_(), mode));
+  apply(machine_.startup(clock_(), how));
 }
 
 void VrrpInstance::hand_over() {
--- a/src/vrrp/vrrp_instance.hpp
+++ b/src/vrrp/vrrp_instance.hpp
@@ -43,7 +43,7 @@
                engine::Clock clock, engine::Log log, OnState on_state);
 
   /// Enters the protocol and begins to receive.
-  void start(StartMode mode = StartMode::kNormal);
+  void start(const Start& how = {});
   /// Leaves the protocol. An active instance advertises that it stops. `on_state` is called.
   void stop();
   /// Leaves the protocol without an advertisement or a call of `on_state`, because another process of this
@@ -51,6 +51,10 @@
   void hand_over();
 
   [[nodiscard]] State state() const { return machine_.state(); }
+  /// Returns when a backup takes over unless it receives an advertisement; nullopt in any other state.
+  [[nodiscard]] std::optional<engine::Time> active_down_at() const {
+    return state() == State::kBackup ? machine_.next_timer() : std::nullopt;
+  }
   /// Returns the bound address, with the port that the system chose if the configured port is 0.
   [[nodiscard]] udp::endpoint local() const { return socket_.local_endpoint(); }
   /// Adds a peer to which advertisements are sent and from which they are accepted.
--- a/tests/hot_restart/chat_listener_test.cpp
+++ b/tests/hot_restart/chat_listener_test.cpp
@@ -170,6 +170,27 @@
   for (const auto& client : clients) CHECK(client->status == 200);
 }
 
+// Guards against a group without an active router, because each successor of a backup waits anew for the
+// advertisements of the other one.
+TEST_CASE("a backup takes over in time although its process is replaced again and again",
+          "[upgrade][vrrp][chat]") {
+  ChatListenerFixture fixture;
+  fixture.join_vrrp_group();
+  fixture.clock_offset = GENERATE(seconds(0), seconds(3600), seconds(-3600));
+  DispatcherProcess& first = fixture.start();
+  fixture.advertise_for(kHigherPriority, seconds(2));
+  REQUIRE(first.logged("vrrp: backup"));
+  fixture.clock_offset = {};
+  const engine::Time silent_since = fixture.environment.now;
+  while (fixture.environment.now < silent_since + kDownInterval) {
+    DispatcherProcess& old = *fixture.processes.back();
+    fixture.start();
+    fixture.end(old);
+    fixture.run_for(milliseconds(700));
+  }
+  CHECK(fixture.answers_all());
+}
+
 // Guards against the listener of a chat frontend that the new configuration has turned off.
 TEST_CASE("a successor without a chat frontend does not keep its predecessor's listener", "[upgrade][chat]") {
   ChatListenerFixture fixture;
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -92,9 +92,10 @@
     events.emplace_back("stream");
   }
   bool reclaim_descriptor() override { return false; }
-  void on_vrrp_left(hot_restart::VrrpRole role, net::UniqueFd listening_socket) override {
+  void on_vrrp_left(const hot_restart::VrrpLeft& left, net::UniqueFd listening_socket) override {
     CHECK_FALSE(listening_socket);
-    events.emplace_back(role == hot_restart::VrrpRole::kActive ? "vrrp active" : "vrrp backup");
+    CHECK_FALSE(left.active_down_at);
+    events.emplace_back(left.role == hot_restart::VrrpRole::kActive ? "vrrp active" : "vrrp backup");
   }
   void on_peers_changed() override { events.emplace_back("peers changed"); }
   void on_predecessor_connections() override { events.emplace_back("connections"); }
@@ -164,9 +165,9 @@
   fixture.expect(successor, kRequestClosed);
   fixture.peer->on_attempt_started("r1");
   fixture.expect(successor, kSent);
-  fixture.peer->notify_vrrp_left(hot_restart::VrrpRole::kActive);
+  fixture.peer->notify_vrrp_left({hot_restart::VrrpRole::kActive});
   fixture.expect(successor, kVrrpActive);
-  fixture.peer->notify_vrrp_left(hot_restart::VrrpRole::kBackup);
+  fixture.peer->notify_vrrp_left({hot_restart::VrrpRole::kBackup});
   fixture.expect(successor, kVrrpBackup);
   CHECK(fixture.peer->transfer_stream({"a1", "w1", "da\n\xff", 17, true}, 0, 1));
   fixture.expect(successor, kStream, 2);
@@ -185,7 +186,7 @@
   fixture.peer->on_attempt_started("r1");
   fixture.expect(predecessor, kSent);
   // Only a successor is notified that this process left the VRRP group.
-  fixture.peer->notify_vrrp_left(hot_restart::VrrpRole::kActive);
+  fixture.peer->notify_vrrp_left({hot_restart::VrrpRole::kActive});
   fixture.work.settle();
   CHECK_FALSE(predecessor.receive());
 }
