A process whose successor was killed can be found by the next one

What callers would see: streams cut and requests run twice, as two processes serve side by side without knowing of each other. Found by looking at each socket that a process gives.

Cause: a process that serves replaces the socket at which its predecessor was found. Where it is killed, nobody listens there. Change: the predecessor listens again when a successor that served has ended, unless that one said that it was replaced. Why it works: at any time the newest process that serves listens; an older one takes the place only of one that has gone.

--- a/src/hot_restart/handover_channel.cpp
+++ b/src/hot_restart/handover_channel.cpp
@@ -210,6 +210,7 @@
 bool HandoverListener::open() {
   net::UniqueFd socket = listen_packet_socket(path_);
   if (!socket) return false;
+  close();
   socket_.assign(socket.release());
   wait_for_connection();
   return true;
--- a/src/hot_restart/handover_channel.hpp
+++ b/src/hot_restart/handover_channel.hpp
@@ -112,7 +112,8 @@
   // Called from the event loop, with the connection's socket, for each process that connects.
   using OnConnected = std::function<void(net::UniqueFd)>;
   HandoverListener(boost::asio::io_context& io, std::string path, OnConnected on_connected);
-  // Replaces any process that listens at the path. Returns false if listening fails.
+  // Replaces any process that listens at the path, and an earlier socket of this one. Returns false if
+  // listening fails.
   [[nodiscard]] bool open();
   void close();
 
--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -19,6 +19,7 @@
 // The members that identify each kind of message.
 constexpr const char* kHandover = "estate";
 constexpr const char* kServing = "serving";
+constexpr const char* kReplaced = "replaced";
 constexpr const char* kDrainedEndpoint = "ban";
 constexpr const char* kRequest = "request";
 constexpr const char* kForwardedTo = "sent";
@@ -244,6 +245,8 @@
 
 Json encode(const SuccessorServing& /*message*/) { return {{key::kServing, true}}; }
 
+Json encode(const SuccessorReplaced& /*message*/) { return {{key::kReplaced, true}}; }
+
 Json encode(const AdministrativeStateChanged& message) {
   const bool is_drained = message.state == AdministrativeState::kDrained;
   return {{key::kDrainedEndpoint, message.endpoint.value()}, {key::kIsDrained, is_drained}};
@@ -280,6 +283,7 @@
 std::vector<Message> decode(const Json& object, PeerRole sender) {
   if (sender == PeerRole::kPredecessor && object.contains(key::kHandover)) return {decode_handover(object)};
   if (sender == PeerRole::kSuccessor && object.contains(key::kServing)) return {SuccessorServing{}};
+  if (sender == PeerRole::kSuccessor && object.contains(key::kReplaced)) return {SuccessorReplaced{}};
   std::vector<Message> messages;
   if (object.contains(key::kDrainedEndpoint)) messages.push_back(decode_administrative_state(object));
   if (object.contains(key::kRequest)) messages.push_back(decode_request_status(object));
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -35,6 +35,9 @@
 // Sent by the successor when it starts to accept connections.
 struct SuccessorServing {};
 
+// Sent by a successor that ends and has a serving successor of its own, to which later processes connect.
+struct SuccessorReplaced {};
+
 // Sent when operators drain an endpoint or return it to service.
 struct AdministrativeStateChanged {
   routing::EndpointId endpoint;
@@ -91,13 +94,14 @@
 };
 
 // Any message.
-using Message =
-    std::variant<Handover, SuccessorServing, AdministrativeStateChanged, RequestStatusChanged,
-                 RequestForwarded, StreamTransfer, InvalidStreamTransfer, VrrpLeft, ConnectionsInUse>;
+using Message = std::variant<Handover, SuccessorServing, SuccessorReplaced, AdministrativeStateChanged,
+                             RequestStatusChanged, RequestForwarded, StreamTransfer, InvalidStreamTransfer,
+                             VrrpLeft, ConnectionsInUse>;
 
 // Returns the JSON form of a message or of the learned state in it.
 [[nodiscard]] Json encode(const Handover& message);
 [[nodiscard]] Json encode(const SuccessorServing& message);
+[[nodiscard]] Json encode(const SuccessorReplaced& message);
 [[nodiscard]] Json encode(const AdministrativeStateChanged& message);
 [[nodiscard]] Json encode(const RequestStatusChanged& message);
 [[nodiscard]] Json encode(const RequestForwarded& message);
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -44,6 +44,10 @@
 
 void HotRestartPeer::on_serving() {
   if (has_predecessor()) predecessor_.channel->send(encode(SuccessorServing{}));
+  listen();
+}
+
+void HotRestartPeer::listen() {
   if (!path_.empty() && !listener_.open())
     log_("upgrade: can't listen at '" + path_ + "': no successor can connect to this process");
 }
@@ -58,6 +62,7 @@
 void HotRestartPeer::on_successor_connected(net::UniqueFd socket) {
   if (successor_.channel != nullptr) successor_.channel->close();  // that one failed and was started again
   is_successor_serving_ = false;
+  is_successor_replaced_ = false;
   notified_connections_.reset();
   successor_.channel = std::make_shared<HandoverChannel>(io_, std::move(socket), successor_);
   successor_.channel->start();
@@ -119,6 +124,10 @@
   owner_.on_peers_changed();
 }
 
+void HotRestartPeer::handle(const SuccessorReplaced& /*message*/, Descriptors& /*descriptors*/) {
+  is_successor_replaced_ = true;
+}
+
 void HotRestartPeer::handle(const AdministrativeStateChanged& message, Descriptors& /*descriptors*/) {
   owner_.on_administrative_state(message.endpoint, message.state);
 }
@@ -156,7 +165,8 @@
   connection.channel.reset();
   const std::string end_text = " (channel " + std::string(to_text(end)) + ")";
   if (connection.role == PeerRole::kSuccessor) {
-    is_successor_serving_ = false;
+    // A successor that served has replaced the socket at which this process was found.
+    if (std::exchange(is_successor_serving_, false) && !is_successor_replaced_) listen();
     log_("upgrade: the successor has ended" + end_text);
   } else {
     predecessor_connections_.reset();
@@ -173,7 +183,9 @@
 
 bool HotRestartPeer::leave_predecessor() {
   if (!has_predecessor()) return true;
-  if (received_streams_ == 0) predecessor_.channel->finish();
+  if (received_streams_ > 0) return false;
+  if (is_successor_serving()) predecessor_.channel->send(encode(SuccessorReplaced{}));
+  predecessor_.channel->finish();
   return false;
 }
 
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -139,12 +139,14 @@
   };
 
   void start_without_handover();
+  void listen();
   void on_successor_connected(net::UniqueFd socket);
   void send_handover();
   void send_short_handover(const Handover& handover, const std::vector<int>& descriptors);
   void on_message(PeerRole sender, const Json& object, Descriptors descriptors);
   void handle(Handover& message, Descriptors& descriptors);
   void handle(const SuccessorServing& message, Descriptors& descriptors);
+  void handle(const SuccessorReplaced& message, Descriptors& descriptors);
   void handle(const AdministrativeStateChanged& message, Descriptors& descriptors);
   void handle(const RequestStatusChanged& message, Descriptors& descriptors);
   void handle(const RequestForwarded& message, Descriptors& descriptors);
@@ -166,6 +168,7 @@
   Connection successor_{*this, PeerRole::kSuccessor};
   bool has_state_ = false;  // whether on_handover() was called
   bool is_successor_serving_ = false;
+  bool is_successor_replaced_ = false;  // a later process has the path at which successors connect
   std::optional<ConnectionsInUse> predecessor_connections_;
   std::optional<ConnectionsInUse> notified_connections_;  // what the successor was notified of
   std::size_t transferred_streams_ = 0;                   // handed over to successors
