Times of what a router has learned are converted to its successor's clock

What callers would see: endpoints that count as in slow start for too long, or too briefly, after a hot restart.

Cause: each process reads the system clock once, at its start, and hands times over in its own clock. Where the system clock was adjusted in between, the successor takes them for its own. Found by looking at each clock that a process gives. Change: the hand-over says how far the clock is ahead of the machine's monotonic one, and the successor converts the times. The member is within what was learned, and is ignored by the previous release. Why it works: the monotonic clock is the same for all processes of a machine.

--- a/src/daemon/dispatcher.hpp
+++ b/src/daemon/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/signal_set.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,7 @@
     return components_.engine.open_request_ids();
   }
   routing::LearnedState learned_state() override { return components_.engine.learned_state(); }
+  std::optional<engine::Duration> clock_offset() override { return components_.loop.clock_offset(); }
   hot_restart::Json degradation_level() override { return components_.degradation_controller.status(); }
   void on_handover(hot_restart::HandoverState handover) override;
   void on_administrative_state(const routing::EndpointId& endpoint,
--- a/src/hot_restart/handover_messages.cpp
+++ b/src/hot_restart/handover_messages.cpp
@@ -55,6 +55,7 @@
 constexpr const char* kEndpoints = "hosts";
 constexpr const char* kSendTimes = "sends";
 constexpr const char* kBackSince = "back";
+constexpr const char* kClockOffset = "clock_offset_us";
 }  // namespace key
 
 // Bounds of plausible statistics from another process. Other values are ignored or clamped.
@@ -140,6 +141,8 @@
   handover.open_request_ids = request_ids_member(object, key::kOpenRequestIds);
   handover.learned_state = decode_learned_state(member(object, key::kLearnedState));
   handover.degradation_level = member(object, key::kDegradationLevel);
+  const Json& clock_offset = member(member(object, key::kLearnedState), key::kClockOffset);
+  if (clock_offset.is_number_integer()) handover.clock_offset = decode_time(clock_offset);
   const Json& names = member(object, key::kListenerNames);
   if (!names.is_array()) return handover;
   // A name that is not a string becomes an empty name, since names and descriptors are matched by position.
@@ -231,6 +234,7 @@
 Json encode_without_lists(const Handover& message) {
   Json object = encode_without_learned_state(message);
   object[key::kLearnedState] = encode(message.learned_state);
+  if (message.clock_offset) object[key::kLearnedState][key::kClockOffset] = message.clock_offset->count();
   return object;
 }
 
--- a/src/hot_restart/handover_messages.hpp
+++ b/src/hot_restart/handover_messages.hpp
@@ -30,6 +30,9 @@
   routing::LearnedState learned_state;
   Json degradation_level;  // see DegradationController::status(); null if there is none
   std::vector<std::string> listener_names;
+  // The predecessor's clock, in which the times of the learned state are, minus the system's monotonic clock.
+  // Unknown if the predecessor is of a release that does not send it.
+  std::optional<std::chrono::microseconds> clock_offset = std::nullopt;
 };
 
 // Sent by the successor when it starts to accept connections.
--- a/src/hot_restart/hot_restart_peer.cpp
+++ b/src/hot_restart/hot_restart_peer.cpp
@@ -15,6 +15,20 @@
 constexpr engine::Duration kHandoverTimeout = std::chrono::milliseconds(1500);
 constexpr std::size_t kStreamDescriptors = 2;  // the sockets of the client and of the endpoint
 
+// Moves a time by `offset`, unless it is zero, which means that there is none.
+void shift(routing::Time& time, routing::Duration offset) {
+  if (time != routing::Time{}) time += offset;
+}
+
+// Converts the times of a learned state to a clock that is `offset` ahead of the one that they are in.
+void shift_times(routing::LearnedState& learned_state, routing::Duration offset) {
+  shift(learned_state.since, offset);
+  for (routing::LearnedState::EndpointHistory& history : learned_state.endpoints) {
+    for (routing::Time& sent_at : history.sends) shift(sent_at, offset);
+    shift(history.returned_at, offset);
+  }
+}
+
 }  // namespace
 
 HotRestartPeer::HotRestartPeer(boost::asio::io_context& io, const std::string& path,
@@ -82,6 +96,7 @@
   handover.open_request_ids = owner_.open_request_ids();
   handover.learned_state = owner_.learned_state();
   handover.degradation_level = owner_.degradation_level();
+  handover.clock_offset = owner_.clock_offset();
   if (successor_.channel->send(encode(handover), descriptors)) return;
   send_short_handover(handover, descriptors);
 }
@@ -109,6 +124,9 @@
   state.endpoint_list = std::move(message.endpoint_list);
   state.open_request_ids = std::move(message.open_request_ids);
   state.learned_state = std::move(message.learned_state);
+  const std::optional<engine::Duration> clock_offset = owner_.clock_offset();
+  if (clock_offset && message.clock_offset)
+    shift_times(state.learned_state, *clock_offset - *message.clock_offset);
   state.degradation_level = std::move(message.degradation_level);
   const std::size_t sockets = std::min(message.listener_names.size(), descriptors.size());
   for (std::size_t i = 0; i < sockets; ++i) {
--- a/src/hot_restart/hot_restart_peer.hpp
+++ b/src/hot_restart/hot_restart_peer.hpp
@@ -49,6 +49,8 @@
     [[nodiscard]] virtual std::vector<routing::RequestId> open_request_ids() = 0;
     [[nodiscard]] virtual routing::LearnedState learned_state() = 0;
     [[nodiscard]] virtual Json degradation_level() = 0;
+    // Returns the clock of this process minus the system's monotonic clock; nullopt if it is not known.
+    [[nodiscard]] virtual std::optional<engine::Duration> clock_offset() = 0;
 
     // Called once. The state is empty if there is no predecessor or it sent no state in time.
     virtual void on_handover(HandoverState state) = 0;
--- a/tests/hot_restart/hot_restart_compatibility_test.cpp
+++ b/tests/hot_restart/hot_restart_compatibility_test.cpp
@@ -92,6 +92,7 @@
     events.emplace_back("stream");
   }
   bool reclaim_descriptor() override { return false; }
+  std::optional<engine::Duration> clock_offset() override { return own_clock_offset; }
   void on_vrrp_left(const hot_restart::VrrpLeft& left, net::UniqueFd listening_socket) override {
     CHECK_FALSE(listening_socket);
     CHECK_FALSE(left.active_down_at);
@@ -100,6 +101,7 @@
   void on_peers_changed() override { events.emplace_back("peers changed"); }
   void on_predecessor_connections() override { events.emplace_back("connections"); }
 
+  std::optional<engine::Duration> own_clock_offset;  // the previous release sent none
   bool long_list = false;
   bool long_learned_state = false;
   std::vector<hot_restart::HandoverState> states;
@@ -261,6 +263,34 @@
   }
 }
 
+// Guards against times that a process takes for its own although they are in a clock that was read before the
+// system clock was adjusted.
+TEST_CASE("the times of a learned state are converted to the successor's clock", "[upgrade]") {
+  PeerFixture fixture;
+  constexpr seconds kPredecessorOffset{100};
+  constexpr seconds kOwnOffset{70};
+  fixture.owner.own_clock_offset = kOwnOffset;
+  Json handover = Json::parse(kHandover);
+  handover["knowledge"]["clock_offset_us"] = engine::Duration(kPredecessorOffset).count();
+  const RawSocket predecessor = fixture.take_over();
+  predecessor.send(handover.dump(), {0, 1});
+  REQUIRE(fixture.work.until([&] { return !fixture.owner.states.empty(); }));
+  const routing::LearnedState& learned = fixture.owner.states.front().learned_state;
+  const routing::LearnedState sent = fixture.owner.learned_state();
+  const engine::Duration shift = kOwnOffset - kPredecessorOffset;
+  CHECK(learned.since == sent.since + shift);
+  CHECK(learned.endpoints[0].sends[1] == sent.endpoints[0].sends[1] + shift);
+  CHECK(learned.endpoints[0].returned_at == sent.endpoints[0].returned_at + shift);
+  CHECK(learned.endpoints[1].returned_at == engine::Time{});  // none
+}
+
+TEST_CASE("a process sends its clock's offset with its learned state", "[upgrade]") {
+  PeerFixture fixture;
+  fixture.owner.own_clock_offset = seconds(70);
+  const RawSocket successor = fixture.serve();
+  CHECK(Json::parse(fixture.next(successor).text).at("knowledge").at("clock_offset_us") == 70'000'000);
+}
+
 TEST_CASE("a predecessor that shuts down sends the connections that it keeps whenever they change",
           "[upgrade]") {
   PeerFixture fixture;
