A process that has closed its chat listener still hands over what it has

Cause: the change of which process hands the chat listener over dropped the check that it is open. A process that no longer accepts clients named a closed socket, and the message could not be sent. Found by reading the change again. Change: the check is back. Result: the new case failed before (the successor started without a hand-over) and passes.

--- a/src/daemon/dispatcher.cpp
+++ b/src/daemon/dispatcher.cpp
@@ -130,8 +130,9 @@
   std::map<std::string, int> sockets;
   http::Server& platform = components_.platform_frontend.server();
   if (platform.is_open()) sockets[kPlatformListener] = platform.listening_socket();
-  if (components_.chat_frontend && !chat_address_.is_paired())
-    sockets[kChatListener] = components_.chat_frontend->server().listening_socket();
+  if (chat_address_.is_paired() || !components_.chat_frontend) return sockets;
+  http::Server& chat = components_.chat_frontend->server();
+  if (chat.is_open()) sockets[kChatListener] = chat.listening_socket();
   return sockets;
 }
 
--- a/tests/hot_restart/killed_process_test.cpp
+++ b/tests/hot_restart/killed_process_test.cpp
@@ -33,6 +33,22 @@
   CHECK(fixture.until([&] { return client->is_complete; }));
 }
 
+// Guards against a hand-over that can't be sent, because it names a listening socket that is closed already.
+TEST_CASE("a process that no longer accepts clients hands over what it has", "[upgrade][chat]") {
+  KilledProcessFixture fixture;
+  fixture.files.chat = {"chat.json",
+                        R"({"listen":"127.0.0.1:0","account":"acme","models":[{"id":"ask","class":"ask"}]})"};
+  DispatcherProcess& first = fixture.start();
+  const auto unfinished = fixture.client(fixture.config.listen);
+  unfinished->send("POST /v1/chat/completions HTTP/1.1\r\n");
+  fixture.run_for(milliseconds(10));
+  HotRestartProcesses::terminate(first);
+  fixture.run_for(milliseconds(600));  // it has no successor, and closes its listeners after a while
+  REQUIRE_FALSE(first.has_ended());
+  DispatcherProcess& second = fixture.start();
+  CHECK(KilledProcessFixture::took_over(second));
+}
+
 // Guards against an old process that takes the place of the one that serves, because the one between them has
 // ended.
 TEST_CASE("a process whose successor was replaced leaves the place to the one that replaced it",
