The tests under the fleet's process restrictions run on arm64 too

Change: the emulation reads the registers of arm64 as well, and has no rules for fork and vfork there, which are no system calls. No check is changed.

--- a/tests/confine/confine.cpp
+++ b/tests/confine/confine.cpp
@@ -25,10 +25,6 @@
 #include <cstdlib>
 #include <cstring>
 
-#if !defined(__x86_64__)
-#error "the emulation of the process restrictions reads x86-64 registers"
-#endif
-
 namespace {
 
 // A system call that the filter traps, and the error that it returns instead of taking effect.
@@ -39,8 +35,10 @@
 };
 
 constexpr DeniedCall kDeniedCalls[] = {
+#if defined(__x86_64__)  // elsewhere the C library calls clone
     {"fork", SYS_fork, ENOSYS},
     {"vfork", SYS_vfork, ENOSYS},
+#endif
     {"execve", SYS_execve, ENOSYS},
     {"execveat", SYS_execveat, ENOSYS},
     {"io_uring_setup", SYS_io_uring_setup, ENOSYS},
@@ -99,16 +97,28 @@
   return kUnknownCall;
 }
 
+// The registers of a trapped call: that of its first argument, and that of its result.
+#if defined(__x86_64__)
+auto& first_argument(mcontext_t& machine) { return machine.gregs[REG_RDI]; }
+auto& result(mcontext_t& machine) { return machine.gregs[REG_RAX]; }
+#elif defined(__aarch64__)
+auto& first_argument(mcontext_t& machine) { return machine.regs[0]; }
+auto& result(mcontext_t& machine) { return machine.regs[0]; }
+#else
+#error "the registers of a system call are not known for this processor"
+#endif
+
 // Runs in the thread that made the call. Uses only what is safe in a signal handler.
 void on_sigsys(int, siginfo_t* info, void* context) {
-  auto* registers = static_cast<ucontext_t*>(context)->uc_mcontext.gregs;
+  mcontext_t& machine = static_cast<ucontext_t*>(context)->uc_mcontext;
   const DeniedCall& call = find_denied_call(info->si_syscall);
   ReportLine line;
   line.append("refused ").append(call.name);
   // Names the family, so that the report says which kind of socket was requested.
-  if (call.number == SYS_socket) line.append(" family ").append(static_cast<unsigned>(registers[REG_RDI]));
+  if (call.number == SYS_socket)
+    line.append(" family ").append(static_cast<unsigned>(first_argument(machine)));
   line.append("\n").write();
-  registers[REG_RAX] = -call.error;
+  result(machine) = -call.error;
 }
 
 bool add_rules(scmp_filter_ctx filter) {
